--- /dev/null
+++ b/src/core/log_codes.hpp
@@ -0,0 +1,31 @@
+#ifndef CRANBERRYWOOD_CORE_LOG_CODES_HPP
+#define CRANBERRYWOOD_CORE_LOG_CODES_HPP
+
+#include <cstdint>
+
+namespace cranberrywood {
+
+/**
+ * Numbers of the log events. Ranges by area: 10xx node, 11xx settings,
+ * 12xx leases and roles, 13xx rates, 14xx at-most-once, 15xx backend servers,
+ * 16xx queries, 17xx quarantine, 18xx input and output.
+ */
+enum class log_code : std::uint32_t
+{
+    node_started = 1001,
+    node_leaving = 1002,
+    node_left = 1003,
+    invariant_broken = 1004,
+    revision_accepted = 1101,
+    revision_refused = 1102,
+    view_unconfirmed = 1103,
+    view_confirmed = 1104,
+    configuration_unavailable = 1105,
+    lease_acquired = 1201,
+    lease_released = 1202,
+    lease_lapsed = 1203,
+};
+
+} // namespace cranberrywood
+
+#endif
--- /dev/null
+++ b/src/core/outbox.hpp
@@ -0,0 +1,57 @@
+#ifndef CRANBERRYWOOD_CORE_OUTBOX_HPP
+#define CRANBERRYWOOD_CORE_OUTBOX_HPP
+
+#include "core/commands.hpp"
+#include "core/log_codes.hpp"
+
+namespace cranberrywood {
+
+/**
+ * Narrow signal from the systems to the node: a system puts its messages and
+ * commands here. The node turns peer messages into envelopes.
+ */
+class outbox
+{
+public:
+    /** A message that still lacks its envelope. */
+    struct addressed
+    {
+        vm_id to;
+        peer_message body;
+    };
+
+    /** Sends a message to another VM. */
+    void to_peer(vm_id to, peer_message body)
+    {
+        m_peer_messages.push_back({to, std::move(body)});
+    }
+    /** Issues any other command. */
+    void issue(command c)
+    {
+        m_commands.push_back(std::move(c));
+    }
+    /** Writes a numbered event to the log. */
+    void log(log_code code, std::string text)
+    {
+        issue(log_event{static_cast<std::uint32_t>(code), std::move(text)});
+    }
+
+    /** Takes the messages that were put in since the last call. */
+    std::vector<addressed> take_peer_messages()
+    {
+        return std::exchange(m_peer_messages, {});
+    }
+    /** Takes the commands that were put in since the last call. */
+    commands take_commands()
+    {
+        return std::exchange(m_commands, {});
+    }
+
+private:
+    std::vector<addressed> m_peer_messages;
+    commands m_commands;
+};
+
+} // namespace cranberrywood
+
+#endif
--- /dev/null
+++ b/tools/check-style.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Checks the format, the rule that the core does no I/O, and the linter.
+# Usage: tools/check-style.sh BUILD_DIR
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:?usage: tools/check-style.sh BUILD_DIR}
+mapfile -t sources < <(git ls-files 'src/*.hpp' 'src/*.cpp' \
+  | grep -v '^src/wire/gen/')
+clang-format --dry-run --Werror "${sources[@]}"
+core=(src/units src/settings src/tables src/systems src/core)
+if git grep -nE '#include <(caf|thrift|httplib|sys/|netinet|thread|mutex|future|boost/asio)' \
+    -- "${core[@]}"; then
+  echo "the decision core includes input, output or threads" >&2
+  exit 1
+fi
+if git grep -nE '(steady|system)_clock::now|random_device|[^a-z_]rand\(' \
+    -- "${core[@]}"; then
+  echo "the decision core reads a clock or a random device" >&2
+  exit 1
+fi
+mapfile -t units < <(git ls-files 'src/*.cpp' \
+  | grep -vE '^src/(wire/gen|tests)/')
+printf '%s\n' "${units[@]}" \
+  | xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$build" 2>/dev/null
+echo "style: ${#sources[@]} files formatted, ${#units[@]} linted"
