--- /dev/null
+++ b/src/systems/key_check.cpp
@@ -0,0 +1,37 @@
+#include "systems/key_check.hpp"
+
+#include <sodium.h>
+
+namespace cranberrywood {
+
+key_digest digest_of(std::string_view salt, std::string_view key)
+{
+    key_digest digest{};
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, nullptr, 0, digest.size());
+    crypto_generichash_update(
+        &state, reinterpret_cast<const unsigned char*>(salt.data()),
+        salt.size());
+    crypto_generichash_update(
+        &state, reinterpret_cast<const unsigned char*>(key.data()), key.size());
+    crypto_generichash_final(&state, digest.data(), digest.size());
+    return digest;
+}
+
+std::optional<workspace_id> workspace_of_key(const settings_index& settings,
+                                             std::string_view key)
+{
+    const key_digest presented = digest_of(settings.all().key_salt, key);
+    std::optional<workspace_id> found;
+    for (const auto& workspace : settings.all().workspaces) {
+        for (const auto& granted : workspace.keys) {
+            if (sodium_memcmp(granted.data(), presented.data(),
+                              presented.size()) == 0) {
+                found = workspace.id;
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/key_check.hpp
@@ -0,0 +1,22 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_KEY_CHECK_HPP
+#define CRANBERRYWOOD_SYSTEMS_KEY_CHECK_HPP
+
+#include "settings/settings.hpp"
+
+#include <optional>
+
+namespace cranberrywood {
+
+/** Returns the salted digest of a key, as it stands in the settings. */
+key_digest digest_of(std::string_view salt, std::string_view key);
+
+/**
+ * Finds the workspace that a caller's key was granted to. Takes the same time
+ * for every key: all digests are compared, each in constant time.
+ */
+std::optional<workspace_id> workspace_of_key(const settings_index& settings,
+                                             std::string_view key);
+
+} // namespace cranberrywood
+
+#endif
