--- a/src/core/commands.hpp
+++ b/src/core/commands.hpp
@@ -2,6 +2,9 @@
 #define CRANBERRYWOOD_CORE_COMMANDS_HPP
 
 #include "core/messages.hpp"
+#include "settings/settings.hpp"
+
+#include <memory>
 
 /** Everything that a node asks its surroundings to do. */
 namespace cranberrywood {
@@ -58,6 +61,12 @@
 {
 };
 
+/** A settings revision is in force; addresses of VMs and servers are in it. */
+struct settings_accepted
+{
+    std::shared_ptr<const settings_index> settings;
+};
+
 /** Write a numbered event to the log; docs/EVENTS.md lists the codes. */
 struct log_event
 {
@@ -73,7 +82,7 @@
 using command =
     std::variant<send_to_peer, open_backend, close_backend, send_to_backend,
                  cancel_at_backend, answer_caller, read_configuration,
-                 read_vm_list, log_event, stop_process>;
+                 read_vm_list, settings_accepted, log_event, stop_process>;
 
 /** Commands in the order in which they are to be carried out. */
 using commands = std::vector<command>;
--- a/src/systems/key_check.cpp
+++ b/src/systems/key_check.cpp
@@ -18,10 +18,9 @@
     return digest;
 }
 
-std::optional<workspace_id> workspace_of_key(const settings_index& settings,
-                                             std::string_view key)
+std::optional<workspace_id> workspace_of_digest(const settings_index& settings,
+                                                const key_digest& presented)
 {
-    const key_digest presented = digest_of(settings.all().key_salt, key);
     std::optional<workspace_id> found;
     for (const auto& workspace : settings.all().workspaces) {
         for (const auto& granted : workspace.keys) {
@@ -34,4 +33,11 @@
     return found;
 }
 
+std::optional<workspace_id> workspace_of_key(const settings_index& settings,
+                                             std::string_view key)
+{
+    return workspace_of_digest(settings,
+                               digest_of(settings.all().key_salt, key));
+}
+
 } // namespace cranberrywood
--- a/src/systems/key_check.hpp
+++ b/src/systems/key_check.hpp
@@ -10,6 +10,10 @@
 /** Returns the salted digest of a key, as it stands in the settings. */
 key_digest digest_of(std::string_view salt, std::string_view key);
 
+/** Finds the workspace that a digest was granted to; as workspace_of_key. */
+std::optional<workspace_id> workspace_of_digest(const settings_index& settings,
+                                                const key_digest& presented);
+
 /**
  * Finds the workspace that a caller's key was granted to. Takes the same time
  * for every key: all digests are compared, each in constant time.
