limits: loan asks state held tokens, lookup asks the shard key

A home that only learns how many tokens were spent cannot tell a lost grant from a late report, so its count of open loans drifts after each lost message. An ask that states what is held, and that voids grants of earlier rounds, lets the home replace its count. A lookup ask lacked the key that selects its shard.

--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -97,15 +97,19 @@
 
 // Rates -------------------------------------------------------------------
 
-/** Asks a workspace's home for tokens and reports those spent. */
+/**
+ * Asks a workspace's home for tokens and reports those that are left. The
+ * sender takes no grant of an earlier round after it has sent this ask.
+ */
 struct loan_ask
 {
     workspace_id workspace;
+    /** Grows with each ask about the workspace. */
     std::uint64_t round = 0;
     /** Tokens wanted, in thousandths of a request. */
     std::uint64_t wanted = 0;
-    /** Tokens spent since the sender's start, in thousandths. */
-    std::uint64_t spent_total = 0;
+    /** Unspent tokens that the sender keeps, in thousandths. */
+    std::uint64_t held = 0;
     /** Unspent tokens that the sender gives back, in thousandths. */
     std::uint64_t returned = 0;
 };
@@ -117,7 +121,10 @@
     std::uint64_t round = 0;
     /** Tokens granted, in thousandths of a request; may be zero. */
     std::uint64_t granted = 0;
-    /** Life of the loan, counted from the sending of the ask. */
+    /**
+     * Life of the loan, counted from the sending of the ask; zero when the
+     * sender is not the home.
+     */
     duration valid_for{0};
 };
 
@@ -229,6 +236,8 @@
     service_id service;
     revision_number revision;
     duration time_left{0};
+    /** Shard key of the request, in the service's key space. */
+    std::uint64_t lookup_key = 0;
     std::uint32_t hit_limit = 0;
     std::string body;
 };
