--- a/src/tests/main.cpp
+++ b/src/tests/main.cpp
@@ -1,8 +1,7 @@
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 
-// The address sanitizer finds leaks. CppUTest's own detector counts what
-// RapidCheck keeps between its checks.
+// The sanitizers find leaks; CppUTest counts static tables as leaks.
 int main(int argc, char** argv)
 {
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
