--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -185,6 +185,9 @@
 /** Returns whether an outcome proves that the server started nothing. */
 bool proves_not_started(shard_outcome o);
 
+/** Returns the reason that a caller is given for a shard's outcome. */
+reason reason_of(shard_outcome o);
+
 /** Index versions that a backend server holds. */
 struct held_versions
 {
--- a/src/core/node_status.hpp
+++ b/src/core/node_status.hpp
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYWOOD_CORE_NODE_STATUS_HPP
 #define CRANBERRYWOOD_CORE_NODE_STATUS_HPP
 
+#include "systems/level_report.hpp"
 #include "units/ids.hpp"
 
 #include <cstdint>
@@ -25,6 +26,7 @@
     std::uint32_t requests_in_flight = 0;
     /** Counts since the start of the process, by metric name. */
     std::map<std::string, std::uint64_t> counters;
+    std::vector<level_report> levels;
 };
 
 } // namespace cranberrywood
