--- /dev/null
+++ b/src/systems/owner_sends.cpp
@@ -0,0 +1,331 @@
+#include "systems/owner_sends.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+shard_outcome outcome_of(backend_outcome o)
+{
+    switch (o) {
+    case backend_outcome::done:
+        return shard_outcome::done;
+    case backend_outcome::shed:
+        return shard_outcome::shed;
+    case backend_outcome::draining:
+        return shard_outcome::out_of_service;
+    case backend_outcome::version_gone:
+        return shard_outcome::version_gone;
+    case backend_outcome::cancelled:
+        return shard_outcome::cancelled;
+    case backend_outcome::failed:
+        break;
+    }
+    return shard_outcome::failed;
+}
+
+void count_in_window(server_window& window, shard_outcome outcome,
+                     duration latency, time_point now)
+{
+    switch (outcome) {
+    case shard_outcome::done:
+        window.completed(latency, now);
+        return;
+    case shard_outcome::shed:
+        window.shed();
+        return;
+    case shard_outcome::failed:
+        window.failed();
+        return;
+    default:
+        window.released();
+        return;
+    }
+}
+
+backend_request request_for(const queued_ask& item, duration time_left)
+{
+    const owner_request& from = item.query->request;
+    backend_request request;
+    request.id = item.ask.id;
+    request.service = from.service;
+    request.shard = item.ask.shard;
+    request.map = from.map;
+    request.index = from.index;
+    request.time_left = time_left;
+    request.repeatable = from.repeatable;
+    request.hit_limit = from.hit_limit;
+    request.body = from.body;
+    return request;
+}
+
+} // namespace
+
+owner_sends::owner_sends(const role_view& roles, const send_gate& gate,
+                         reply_merger& merger)
+    : m_roles(roles), m_gate(gate), m_merger(merger)
+{
+}
+
+void owner_sends::settings_changed(
+    std::shared_ptr<const settings_index> settings)
+{
+    m_settings = std::move(settings);
+}
+
+void owner_sends::accept(owned_server* row,
+                         const reply_merger::query_pointer& query,
+                         const shard_ask& ask, time_point now, outbox& out)
+{
+    if (const auto refusal = refuses(row, query->request, ask, now)) {
+        finish(row, query, ask, *refusal);
+        return;
+    }
+    enqueue(*row, {ask, query}, now);
+    pump(*row, now, out);
+}
+
+std::optional<shard_outcome> owner_sends::refuses(const owned_server* row,
+                                                  const owner_request& request,
+                                                  const shard_ask& ask,
+                                                  time_point now) const
+{
+    if (row == nullptr || row->stopping || !m_roles.holds(row->group, now)) {
+        return shard_outcome::not_owner;
+    }
+    if (!row->in_service || row->server_drains) {
+        return shard_outcome::out_of_service;
+    }
+    if (row->draining || row->link == link_state::closed) {
+        return shard_outcome::shed;
+    }
+    return m_gate.forbids(request, ask, now);
+}
+
+void owner_sends::enqueue(owned_server& row, queued_ask item, time_point now)
+{
+    queue_terms terms;
+    terms.workspace = item.query->request.workspace;
+    terms.weight = weight_of(terms.workspace);
+    terms.deadline = item.query->deadline;
+    row.queue.drop_late(now, row.window.shortest_latency());
+    finish_late(row);
+    if (auto evicted = row.queue.push(terms, std::move(item))) {
+        ++m_counts.shed;
+        finish(&row, evicted->query, evicted->ask, shard_outcome::shed);
+    }
+}
+
+void owner_sends::pump(owned_server& row, time_point now, outbox& out)
+{
+    while (row.link == link_state::up && row.window.has_room()) {
+        auto next = row.queue.pop(now, row.window.shortest_latency());
+        finish_late(row);
+        if (!next) {
+            return;
+        }
+        if (!m_roles.holds(row.group, now)) {
+            finish(&row, next->query, next->ask, shard_outcome::not_owner);
+            continue;
+        }
+        const auto refusal =
+            m_gate.forbids(next->query->request, next->ask, now);
+        if (refusal) {
+            finish(&row, next->query, next->ask, *refusal);
+            continue;
+        }
+        send(row, *next, now, out);
+    }
+}
+
+void owner_sends::send(owned_server& row, const queued_ask& item,
+                       time_point now, outbox& out)
+{
+    in_flight_ask sent;
+    sent.ask = item.ask;
+    sent.query = item.query;
+    sent.print = item.query->request.print;
+    sent.sent_at = now;
+    sent.deadline = item.query->deadline;
+    const duration time_left = time_for(row, *item.query, now);
+    out.issue(send_to_backend{row.id, request_for(item, time_left)});
+    row.in_flight.emplace(item.ask.id, std::move(sent));
+    row.window.sent();
+    row.last_work = now;
+    ++m_counts.sent;
+}
+
+// A cold server must not work for its former owner and its next one at a
+// time, so work that is sent to it ends with the lease.
+duration owner_sends::time_for(const owned_server& row,
+                               const owned_query& query, time_point now) const
+{
+    const duration left = query.deadline - now;
+    if (!row.window.cold() || !query.request.repeatable) {
+        return left;
+    }
+    return std::min(left, m_roles.held_until(row.group) - now);
+}
+
+void owner_sends::replied(owned_server& row, backend_reply reply,
+                          time_point now)
+{
+    const auto found = row.in_flight.find(reply.id);
+    if (found == row.in_flight.end()) {
+        ++m_counts.unmatched_replies;
+        return;
+    }
+    const in_flight_ask sent = std::move(found->second);
+    row.in_flight.erase(found);
+    row.last_work = now;
+    row.versions = {row.id, reply.oldest, reply.newest};
+    settle(row, sent, std::move(reply), now);
+}
+
+// Only hits of the pinned index version reach the merge. A reply that was
+// run on another version is a failure: the server did start it.
+void owner_sends::settle(owned_server& row, const in_flight_ask& sent,
+                         backend_reply reply, time_point now)
+{
+    shard_outcome outcome = outcome_of(reply.outcome);
+    count_in_window(row.window, outcome, now - sent.sent_at, now);
+    if (reply.outcome == backend_outcome::draining) {
+        row.server_drains = true;
+        row.server_drains_since = now;
+        end_queue(row, shard_outcome::out_of_service);
+    }
+    if (!sent.query) {
+        return;
+    }
+    m_merger.tell_versions(*sent.query, row.versions, now);
+    if (outcome == shard_outcome::done &&
+        reply.index != sent.query->request.index) {
+        ++m_counts.other_version_replies;
+        outcome = shard_outcome::failed;
+    }
+    if (outcome == shard_outcome::done) {
+        reply_merger::add_hits(*sent.query, std::move(reply.hits));
+    }
+    finish(&row, sent.query, sent.ask, outcome);
+}
+
+// A request that must run at most once is not cancelled at the server:
+// whether it ran could not be told from the cancellation.
+void owner_sends::cancel(owned_server& row,
+                         const reply_merger::query_pointer& query,
+                         sub_request_id id, outbox& out)
+{
+    const auto waiting = row.queue.take_if(
+        [&](const queued_ask& item) { return item.ask.id == id; });
+    for (const auto& item : waiting) {
+        finish(&row, query, item.ask, shard_outcome::cancelled);
+    }
+    if (row.in_flight.count(id) != 0 && query->request.repeatable) {
+        out.issue(cancel_at_backend{row.id, {id}});
+    }
+}
+
+void owner_sends::end_queue(owned_server& row, shard_outcome outcome)
+{
+    for (const auto& item : row.queue.take_all()) {
+        finish(&row, item.query, item.ask, outcome);
+    }
+}
+
+std::vector<fingerprint> owner_sends::lose_in_flight(owned_server& row)
+{
+    std::vector<fingerprint> prints;
+    for (const auto& [id, sent] : row.in_flight) {
+        prints.push_back(sent.print);
+        if (sent.query) {
+            finish(&row, sent.query, sent.ask, shard_outcome::unknown);
+        }
+    }
+    row.in_flight.clear();
+    row.window.forget_in_flight();
+    std::sort(prints.begin(), prints.end());
+    prints.erase(std::unique(prints.begin(), prints.end()), prints.end());
+    return prints;
+}
+
+void owner_sends::tick(owned_server& row, time_point now, outbox& out)
+{
+    row.queue.drop_late(now, row.window.shortest_latency());
+    finish_late(row);
+    for (auto& [id, sent] : row.in_flight) {
+        const bool overdue = sent.query && now >= sent.deadline;
+        if (overdue && sent.query->request.repeatable) {
+            give_up(row, sent, out);
+        }
+    }
+    pump(row, now, out);
+}
+
+// The request keeps its place in the window until the server answers: it may
+// run there still.
+void owner_sends::give_up(owned_server& row, in_flight_ask& sent, outbox& out)
+{
+    out.issue(cancel_at_backend{row.id, {sent.ask.id}});
+    finish(&row, sent.query, sent.ask, shard_outcome::unknown);
+    sent.query = nullptr;
+}
+
+void owner_sends::finish_late(owned_server& row)
+{
+    for (const auto& item : row.queue.take_late()) {
+        ++m_counts.late;
+        finish(&row, item.query, item.ask, shard_outcome::too_late);
+    }
+}
+
+void owner_sends::finish(const owned_server* row,
+                         const reply_merger::query_pointer& query,
+                         const shard_ask& ask, shard_outcome outcome)
+{
+    shard_result result;
+    result.id = ask.id;
+    result.shard = ask.shard;
+    result.backend_server = ask.backend_server;
+    result.outcome = outcome;
+    if (row != nullptr) {
+        result.queue_length = row->load();
+        result.cold = row->window.cold();
+    }
+    if (outcome == shard_outcome::not_owner) {
+        result.owner_hint = holder_of(ask.backend_server);
+    }
+    m_merger.finish(query, result);
+}
+
+std::uint32_t owner_sends::weight_of(workspace_id workspace) const
+{
+    const auto* found = m_settings->find(workspace);
+    return found == nullptr ? 1 : found->weight;
+}
+
+vm_id owner_sends::holder_of(backend_server_id server) const
+{
+    const auto* known = m_settings ? m_settings->find(server) : nullptr;
+    if (known == nullptr) {
+        return {};
+    }
+    return m_roles.believed_holder(m_roles.map().owner_group(*known));
+}
+
+void owner_sends::count_unmatched()
+{
+    ++m_counts.unmatched_replies;
+}
+
+void owner_sends::count_repeated()
+{
+    ++m_counts.repeated_asks;
+}
+
+const dispatch_counts& owner_sends::counts() const
+{
+    return m_counts;
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/reply_merger.cpp
@@ -0,0 +1,144 @@
+#include "systems/reply_merger.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+namespace cranberrywood {
+
+namespace {
+
+// An entry VM forgets versions that are not repeated to it.
+constexpr duration repeat_versions_after = std::chrono::seconds(2);
+
+// Fingerprints kept for a reader that does not come.
+constexpr std::size_t max_completed = 4096;
+
+bool better(const hit& a, const hit& b)
+{
+    return std::tie(b.score, a.key, a.text) < std::tie(a.score, b.key, b.text);
+}
+
+bool same_range(const held_versions& a, const held_versions& b)
+{
+    return a.oldest == b.oldest && a.newest == b.newest;
+}
+
+} // namespace
+
+reply_merger::query_pointer
+reply_merger::record(vm_id entry, const owner_request& request, time_point now)
+{
+    query_pointer& found = m_queries[key_of(entry, request)];
+    if (!found) {
+        found = std::make_shared<owned_query>();
+        found->entry = entry;
+        found->request = request;
+        found->request.asks.clear();
+        found->deadline = now + request.time_left;
+    }
+    return found;
+}
+
+std::vector<reply_merger::query_pointer>
+reply_merger::find(vm_id entry, query_id query) const
+{
+    std::vector<query_pointer> found;
+    const query_key first(entry, query, index_version(), shard_map_version());
+    for (auto it = m_queries.lower_bound(first); it != m_queries.end(); ++it) {
+        const query_pointer& record = it->second;
+        if (record->entry != entry || record->request.query != query) {
+            break;
+        }
+        found.push_back(record);
+    }
+    return found;
+}
+
+void reply_merger::finish(const query_pointer& query,
+                          const shard_result& result)
+{
+    query->results.push_back(result);
+    if (result.outcome == shard_outcome::done) {
+        note_completed(*query);
+    }
+    mark_for_flush(query);
+    query->open_asks.erase(result.id);
+    if (query->open_asks.empty()) {
+        m_queries.erase(key_of(query->entry, query->request));
+    }
+}
+
+void reply_merger::add_hits(owned_query& query, std::vector<hit> hits)
+{
+    std::move(hits.begin(), hits.end(), std::back_inserter(query.hits));
+}
+
+void reply_merger::tell_versions(owned_query& query, const held_versions& held,
+                                 time_point now)
+{
+    told& last = m_told[{query.entry, held.backend_server}];
+    const bool is_new = last.held.backend_server != held.backend_server;
+    if (!is_new && same_range(last.held, held) &&
+        now - last.at < repeat_versions_after) {
+        return;
+    }
+    last = {held, now};
+    query.versions.push_back(held);
+}
+
+void reply_merger::flush(outbox& out)
+{
+    for (const auto& query : m_to_flush) {
+        owner_reply reply;
+        reply.query = query->request.query;
+        reply.index = query->request.index;
+        reply.results = std::exchange(query->results, {});
+        reply.versions = std::exchange(query->versions, {});
+        reply.hits = std::exchange(query->hits, {});
+        keep_best(reply.hits, query->request.hit_limit);
+        query->queued_for_flush = false;
+        out.to_peer(query->entry, std::move(reply));
+    }
+    m_to_flush.clear();
+}
+
+std::vector<fingerprint> reply_merger::take_completed()
+{
+    return std::exchange(m_completed, {});
+}
+
+reply_merger::query_key reply_merger::key_of(vm_id entry,
+                                             const owner_request& request)
+{
+    return {entry, request.query, request.index, request.map};
+}
+
+void reply_merger::mark_for_flush(const query_pointer& query)
+{
+    if (!query->queued_for_flush) {
+        query->queued_for_flush = true;
+        m_to_flush.push_back(query);
+    }
+}
+
+void reply_merger::keep_best(std::vector<hit>& hits, std::size_t limit)
+{
+    if (hits.size() > limit) {
+        const auto cut = hits.begin() + static_cast<std::ptrdiff_t>(limit);
+        std::nth_element(hits.begin(), cut, hits.end(), better);
+        hits.erase(cut, hits.end());
+    }
+    std::sort(hits.begin(), hits.end(), better);
+}
+
+// One entry per query is enough: its parts share the fingerprint.
+void reply_merger::note_completed(owned_query& query)
+{
+    if (!query.completed_any && m_completed.size() < max_completed) {
+        query.completed_any = true;
+        m_completed.push_back(query.request.print);
+    }
+}
+
+} // namespace cranberrywood
--- a/src/tests/main.cpp
+++ b/src/tests/main.cpp
@@ -1,7 +1,8 @@
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 
-// The sanitizers find leaks; CppUTest counts static tables as leaks.
+// The address sanitizer finds leaks. CppUTest's own detector counts what
+// RapidCheck keeps between its checks.
 int main(int argc, char** argv)
 {
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
