limits: rate homes and borrowers, records of non-repeatable requests

Homes keep tokens and open loans together within the burst; an ask states what its sender still holds and replaces what the home knew. Hand-overs are numbered by part, as a lost or crossed part would make records look complete that are not.

--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -278,13 +278,20 @@
     std::vector<hit> hits;
 };
 
-/** Hands the records of an id group to its next holder. */
+/**
+ * Hands records of an id group to its next holder, in one or more parts. The
+ * records are whole only when every part of the same number has come.
+ */
 struct record_handover
 {
     role_group_id group;
+    /** Tells the parts of two hand-overs apart. */
+    std::uint64_t number = 0;
+    /** Index of this part, from zero. */
+    std::uint32_t part = 0;
+    std::uint32_t parts = 0;
     /** How far back the records are complete. */
     duration complete_for{0};
-    bool last = true;
     std::vector<lookup_record> records;
 };
 
--- /dev/null
+++ b/src/systems/rate_home.cpp
@@ -0,0 +1,271 @@
+#include "systems/rate_home.hpp"
+
+#include "systems/max_min.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+/** Longest life of a loan. */
+constexpr duration max_loan_life = std::chrono::seconds(1);
+/** Longest time for which an ask waits for tokens. */
+constexpr duration max_hold = std::chrono::milliseconds(100);
+/** Time after which what a borrower got counts half. */
+constexpr duration half_life = std::chrono::seconds(1);
+/** Borrowers of one workspace that are kept at most. */
+constexpr std::size_t max_borrowers = 4096;
+
+constexpr std::int64_t millionths = 1000000;
+
+} // namespace
+
+rate_home::rate_home(role_view& roles) : m_roles(roles) {}
+
+void rate_home::settings_changed(std::shared_ptr<const settings_index> settings,
+                                 time_point now)
+{
+    // Time that has passed is credited at the rate that was in force.
+    for (auto& [workspace, h] : m_homes) {
+        refill(workspace, h, now);
+    }
+    m_settings = std::move(settings);
+}
+
+void rate_home::start(workspace_id workspace, time_point now)
+{
+    m_homes.erase(workspace);
+    m_homes.emplace(workspace, home(now));
+}
+
+void rate_home::stop(workspace_id workspace)
+{
+    m_homes.erase(workspace);
+}
+
+void rate_home::drain(workspace_id workspace)
+{
+    const auto found = m_homes.find(workspace);
+    if (found != m_homes.end()) {
+        found->second.draining = true;
+    }
+}
+
+bool rate_home::drained(workspace_id workspace, time_point now) const
+{
+    const auto found = m_homes.find(workspace);
+    if (found == m_homes.end()) {
+        return true;
+    }
+    const auto& list = found->second.borrowers;
+    return std::none_of(list.begin(), list.end(), [&](const auto& entry) {
+        const borrower& b = entry.second;
+        return b.held.open(now) + b.granted.open(now) > 0;
+    });
+}
+
+void rate_home::receive(vm_id from, const loan_ask& ask, time_point now,
+                        outbox& out)
+{
+    const auto found = m_homes.find(ask.workspace);
+    const role_group_id group = m_roles.map().home_group(ask.workspace);
+    if (found == m_homes.end() || !m_roles.holds(group, now)) {
+        out.to_peer(from, loan_grant{ask.workspace, ask.round, 0, duration(0)});
+        return;
+    }
+    home& h = found->second;
+    if (h.borrowers.count(from) == 0 && h.borrowers.size() >= max_borrowers) {
+        return;
+    }
+    borrower& b = h.borrowers[from];
+    if (ask.round <= b.round) {
+        return;
+    }
+    refill(ask.workspace, h, now);
+    settle(ask.workspace, h, b, ask, now);
+    serve(ask.workspace, h, now, out);
+}
+
+void rate_home::peer_restarted(vm_id vm)
+{
+    for (auto& [workspace, h] : m_homes) {
+        const auto found = h.borrowers.find(vm);
+        if (found != h.borrowers.end()) {
+            found->second.round = 0;
+            found->second.wanted = 0;
+        }
+    }
+}
+
+void rate_home::tick(time_point now, outbox& out)
+{
+    for (auto& [workspace, h] : m_homes) {
+        refill(workspace, h, now);
+        serve(workspace, h, now, out);
+        age(h, now);
+    }
+}
+
+std::uint64_t rate_home::committed(workspace_id workspace, time_point now) const
+{
+    const auto found = m_homes.find(workspace);
+    if (found == m_homes.end()) {
+        return 0;
+    }
+    std::uint64_t sum = found->second.bucket.tokens();
+    for (const auto& [vm, b] : found->second.borrowers) {
+        sum += b.held.open(now) + b.granted.open(now);
+    }
+    return sum;
+}
+
+std::size_t rate_home::homes() const
+{
+    return m_homes.size();
+}
+
+std::size_t rate_home::borrowers() const
+{
+    std::size_t sum = 0;
+    for (const auto& [workspace, h] : m_homes) {
+        sum += h.borrowers.size();
+    }
+    return sum;
+}
+
+const workspace_settings* rate_home::rights_of(workspace_id workspace) const
+{
+    return m_settings == nullptr ? nullptr : m_settings->find(workspace);
+}
+
+std::uint64_t rate_home::room(workspace_id workspace, const home& h,
+                              time_point now) const
+{
+    const workspace_settings* rights = rights_of(workspace);
+    if (rights == nullptr) {
+        return 0;
+    }
+    std::uint64_t lent = 0;
+    for (const auto& [vm, b] : h.borrowers) {
+        lent += b.held.open(now) + b.granted.open(now);
+    }
+    return rights->burst_milli - std::min(lent, rights->burst_milli);
+}
+
+void rate_home::refill(workspace_id workspace, home& h, time_point now) const
+{
+    const workspace_settings* rights = rights_of(workspace);
+    const std::uint64_t rate = rights == nullptr ? 0 : rights->rate_milli;
+    h.bucket.refill(rate, room(workspace, h, now), now);
+}
+
+// The ask states what the borrower still holds and voids every grant that it
+// has not received, so it replaces all that was known of its loans. Spent
+// tokens leave the count and are earned again from now on only: crediting
+// them for the time before would let a window exceed the rate. Returned
+// tokens go back into the bucket as far as they were counted as lent until
+// now; tokens of an earlier home or of a loan that has expired were not.
+void rate_home::settle(workspace_id workspace, home& h, borrower& b,
+                       const loan_ask& ask, time_point now) const
+{
+    const std::uint64_t lent = b.held.open(now) + b.granted.open(now);
+    loan held;
+    held.tokens = ask.held;
+    held.until = std::max(b.held.until, b.granted.until);
+    if (ask.held > lent) {
+        held.until = now + with_drift(max_loan_life);
+    }
+    b.held = held;
+    b.granted = {};
+    b.round = ask.round;
+    b.asked_at = now;
+    const workspace_settings* rights = rights_of(ask.workspace);
+    const std::uint64_t burst = rights == nullptr ? 0 : rights->burst_milli;
+    b.wanted = std::min(ask.wanted, burst);
+    const std::uint64_t freed = lent - std::min(lent, ask.held);
+    const std::uint64_t back = std::min(ask.returned, freed);
+    h.bucket.put_back(back, room(workspace, h, now));
+}
+
+// Under contention each ask gets its max-min share by what the borrower got
+// lately. Half of the bucket is kept back from any one round, so that an entry
+// VM with little traffic finds tokens beside one that borrows ahead.
+void rate_home::serve(workspace_id workspace, home& h, time_point now,
+                      outbox& out)
+{
+    std::vector<borrowers_by_vm::value_type*> waiting;
+    std::vector<max_min_claim> claims;
+    for (auto& entry : h.borrowers) {
+        if (entry.second.wanted > 0) {
+            waiting.push_back(&entry);
+            claims.push_back({entry.second.wanted, entry.second.recent, 0});
+        }
+    }
+    const std::uint64_t tokens = h.bucket.tokens();
+    const std::uint64_t offered =
+        h.draining ? 0
+                   : std::max(tokens / 2, std::min(tokens, tokens_per_request));
+    max_min_share(claims, offered, tokens_per_request);
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+        const bool waited = now - waiting[i]->second.asked_at >= max_hold;
+        if (claims[i].share > 0 || waited || h.draining) {
+            grant(workspace, h, *waiting[i], claims[i].share, now, out);
+        }
+    }
+}
+
+void rate_home::grant(workspace_id workspace, home& h,
+                      borrowers_by_vm::value_type& entry, std::uint64_t tokens,
+                      time_point now, outbox& out) const
+{
+    auto& [vm, b] = entry;
+    const duration life = loan_life(workspace, now);
+    const std::uint64_t granted = life > duration(0) ? tokens : 0;
+    h.bucket.take(granted);
+    b.wanted = 0;
+    b.recent += granted;
+    b.granted = {granted, now + with_drift(life)};
+    out.to_peer(vm, loan_grant{workspace, b.round, granted, life});
+}
+
+void rate_home::age(home& h, time_point now) const
+{
+    while (now - h.aged_at >= half_life) {
+        h.aged_at += half_life;
+        for (auto& [vm, b] : h.borrowers) {
+            b.recent /= 2;
+        }
+        if (now - h.aged_at > 64 * half_life) {
+            h.aged_at = now;
+        }
+    }
+    const duration idle = 8 * max_loan_life;
+    for (auto it = h.borrowers.begin(); it != h.borrowers.end();) {
+        const bool keep = now - it->second.asked_at < idle;
+        it = keep ? std::next(it) : h.borrowers.erase(it);
+    }
+}
+
+// The borrower counts the life from the sending of its ask, which was before
+// now, so its loan ends before this lease does even if the grant is late. A
+// lease that has lapsed gives no life, which says that this is not the home.
+duration rate_home::loan_life(workspace_id workspace, time_point now) const
+{
+    const role_group_id group = m_roles.map().home_group(workspace);
+    if (!m_roles.holds(group, now)) {
+        return duration(0);
+    }
+    const duration left = m_roles.held_until(group) - now;
+    const duration safe = left - (with_drift(left) - left);
+    return std::clamp(safe, duration(0), max_loan_life);
+}
+
+duration rate_home::with_drift(duration d) const
+{
+    const std::int64_t drift =
+        m_settings == nullptr ? 0 : m_settings->fleet().clock_drift_ppm;
+    return d + duration(d.count() / millionths * drift + drift);
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/token_bucket.cpp
@@ -0,0 +1,56 @@
+#include "systems/token_bucket.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace cranberrywood {
+
+namespace {
+
+using microseconds = std::chrono::microseconds;
+
+constexpr std::uint64_t microseconds_per_second = 1000000;
+
+// Keeps rate times time within 64 bits up to a million requests a second.
+constexpr duration longest_refill = std::chrono::hours(1);
+
+} // namespace
+
+void token_bucket::refill(std::uint64_t rate_milli, std::uint64_t room,
+                          time_point now)
+{
+    m_tokens = std::min(m_tokens, room);
+    if (now <= m_filled_at) {
+        return;
+    }
+    const duration passed = std::min(now - m_filled_at, longest_refill);
+    const auto micros = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<microseconds>(passed).count());
+    const std::uint64_t earned = rate_milli * micros / microseconds_per_second;
+    if (m_tokens + earned >= room || passed == longest_refill) {
+        m_tokens = std::min(m_tokens + earned, room);
+        m_filled_at = now;
+        return;
+    }
+    if (earned == 0) {
+        return;
+    }
+    // Rounded up, so that the bucket never earns a moment twice.
+    const std::uint64_t used =
+        (earned * microseconds_per_second + rate_milli - 1) / rate_milli;
+    m_tokens += earned;
+    m_filled_at += microseconds(used);
+}
+
+void token_bucket::put_back(std::uint64_t tokens, std::uint64_t room)
+{
+    m_tokens = std::min(m_tokens + tokens, room);
+}
+
+void token_bucket::take(std::uint64_t tokens)
+{
+    assert(tokens <= m_tokens);
+    m_tokens -= tokens;
+}
+
+} // namespace cranberrywood
