--- /dev/null
+++ b/src/cranberrywoodctl/main.cpp
@@ -0,0 +1,50 @@
+#include "cranberrywoodctl/check_command.hpp"
+#include "cranberrywoodctl/digest_command.hpp"
+#include "cranberrywoodctl/effective_command.hpp"
+
+#include <iostream>
+
+namespace {
+
+using namespace cranberrywood::ctl;
+
+struct command
+{
+    const char* name;
+    int (*run)(const words& arguments);
+    const char* meaning;
+};
+
+const std::vector<command> commands = {
+    {"check", check_command, "check a base file and its overlays"},
+    {"effective", effective_command, "print a site's settings with origins"},
+    {"digest", digest_command, "print the digest of a workspace's key"},
+};
+
+void print_usage(std::ostream& out)
+{
+    out << "usage: cranberrywoodctl COMMAND [ARGUMENT...]\n";
+    for (const auto& known : commands) {
+        out << "  " << known.name << "\t" << known.meaning << '\n';
+    }
+    out << "cranberrywoodctl COMMAND --help prints a command's arguments\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const words arguments(argv + 1, argv + argc);
+    if (arguments.empty()) {
+        print_usage(std::cerr);
+        return exit_usage;
+    }
+    for (const auto& known : commands) {
+        if (arguments.front() == known.name) {
+            return known.run(arguments);
+        }
+    }
+    const bool help = arguments.front() == "--help";
+    print_usage(help ? std::cout : std::cerr);
+    return help ? exit_ok : exit_usage;
+}
