--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -4355,12 +4355,20 @@
   this->group = val;
 }
 
-void record_handover::__set_complete_for(const int64_t val) {
-  this->complete_for = val;
+void record_handover::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void record_handover::__set_part(const int32_t val) {
+  this->part = val;
 }
 
-void record_handover::__set_last(const bool val) {
-  this->last = val;
+void record_handover::__set_parts(const int32_t val) {
+  this->parts = val;
+}
+
+void record_handover::__set_complete_for(const int64_t val) {
+  this->complete_for = val;
 }
 
 void record_handover::__set_records(const std::vector<lookup_record> & val) {
@@ -4404,21 +4412,37 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->complete_for);
-          this->__isset.complete_for = true;
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->last);
-          this->__isset.last = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->part);
+          this->__isset.part = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->parts);
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->complete_for);
+          this->__isset.complete_for = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
@@ -4459,15 +4483,23 @@
   xfer += oprot->writeI64(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("complete_for", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->complete_for);
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->parts);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->last);
+  xfer += oprot->writeFieldBegin("complete_for", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->complete_for);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
     std::vector<lookup_record> ::const_iterator _iter147;
@@ -4487,23 +4519,29 @@
 void swap(record_handover &a, record_handover &b) {
   using ::std::swap;
   swap(a.group, b.group);
+  swap(a.number, b.number);
+  swap(a.part, b.part);
+  swap(a.parts, b.parts);
   swap(a.complete_for, b.complete_for);
-  swap(a.last, b.last);
   swap(a.records, b.records);
   swap(a.__isset, b.__isset);
 }
 
 record_handover::record_handover(const record_handover& other148) {
   group = other148.group;
+  number = other148.number;
+  part = other148.part;
+  parts = other148.parts;
   complete_for = other148.complete_for;
-  last = other148.last;
   records = other148.records;
   __isset = other148.__isset;
 }
 record_handover& record_handover::operator=(const record_handover& other149) {
   group = other149.group;
+  number = other149.number;
+  part = other149.part;
+  parts = other149.parts;
   complete_for = other149.complete_for;
-  last = other149.last;
   records = other149.records;
   __isset = other149.__isset;
   return *this;
@@ -4512,8 +4550,10 @@
   using ::apache::thrift::to_string;
   out << "record_handover(";
   out << "group=" << to_string(group);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "part=" << to_string(part);
+  out << ", " << "parts=" << to_string(parts);
   out << ", " << "complete_for=" << to_string(complete_for);
-  out << ", " << "last=" << to_string(last);
   out << ", " << "records=" << to_string(records);
   out << ")";
 }
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -1751,10 +1751,12 @@
 std::ostream& operator<<(std::ostream& out, const lookup_record& obj);
 
 typedef struct _record_handover__isset {
-  _record_handover__isset() : group(false), complete_for(false), last(false), records(false) {}
+  _record_handover__isset() : group(false), number(false), part(false), parts(false), complete_for(false), records(false) {}
   bool group :1;
+  bool number :1;
+  bool part :1;
+  bool parts :1;
   bool complete_for :1;
-  bool last :1;
   bool records :1;
 } _record_handover__isset;
 
@@ -1765,23 +1767,31 @@
   record_handover& operator=(const record_handover&);
   record_handover() noexcept
                   : group(0),
-                    complete_for(0),
-                    last(0) {
+                    number(0),
+                    part(0),
+                    parts(0),
+                    complete_for(0) {
   }
 
   virtual ~record_handover() noexcept;
   int64_t group;
+  int64_t number;
+  int32_t part;
+  int32_t parts;
   int64_t complete_for;
-  bool last;
   std::vector<lookup_record>  records;
 
   _record_handover__isset __isset;
 
   void __set_group(const int64_t val);
 
-  void __set_complete_for(const int64_t val);
+  void __set_number(const int64_t val);
+
+  void __set_part(const int32_t val);
 
-  void __set_last(const bool val);
+  void __set_parts(const int32_t val);
+
+  void __set_complete_for(const int64_t val);
 
   void __set_records(const std::vector<lookup_record> & val);
 
@@ -1789,9 +1799,13 @@
   {
     if (!(group == rhs.group))
       return false;
-    if (!(complete_for == rhs.complete_for))
+    if (!(number == rhs.number))
+      return false;
+    if (!(part == rhs.part))
       return false;
-    if (!(last == rhs.last))
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(complete_for == rhs.complete_for))
       return false;
     if (!(records == rhs.records))
       return false;
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -213,9 +213,11 @@
 
 struct record_handover {
   1: i64 group
-  2: i64 complete_for
-  3: bool last
-  4: list<lookup_record> records
+  2: i64 number
+  3: i32 part
+  4: i32 parts
+  5: i64 complete_for
+  6: list<lookup_record> records
 }
 
 struct quarantine_notice {
--- a/src/wire/peer_fields.hpp
+++ b/src/wire/peer_fields.hpp
@@ -269,8 +269,10 @@
                  typename D::template wired<wire::record_handover> w)
 {
     copy(c.group, w.group);
+    copy(c.number, w.number);
+    copy(c.part, w.part);
+    copy(c.parts, w.parts);
     copy(c.complete_for, w.complete_for);
-    copy(c.last, w.last);
     copy(c.records, w.records);
 }
 
