core: round in lease_release, age of confirmation in heartbeat

A release that overtakes or trails a later ask of the same VM must not end the newer grant, so it names the last round that it covers. The age of the platform's answer lets a confirmed view pass from peer to peer without two VMs confirming each other for ever: ages only grow. Both fields default to the safe side when a peer leaves them out.

--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -41,6 +41,8 @@
 struct lease_release
 {
     std::vector<role_group_id> groups;
+    /** Last round in which the sender asked; later asks stay valid. */
+    std::uint64_t round = 0;
 };
 
 /** A better-ranked VM asks the holder to drain and release groups. */
@@ -73,6 +75,11 @@
     bool leaving = false;
     /** Asks the receiver for a heartbeat in return. */
     bool wants_reply = false;
+    /**
+     * Age of the newest answer of the platform that the sender's view rests
+     * on, its own or one that peers passed on; zero when there is none.
+     */
+    duration confirmed_age{0};
 };
 
 /** Asks a peer for a newer settings revision than the one it has. */
