core: heartbeats carry a mark and an echo

A heartbeat that waited in a buffer of a paused VM must not confirm a view. The echo of the receiver's own clock proves how recent the message is.

--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -80,6 +80,10 @@
      * on, its own or one that peers passed on; zero when there is none.
      */
     duration confirmed_age{0};
+    /** The sender's clock at sending, for the receiver to echo. */
+    std::uint64_t mark = 0;
+    /** Last mark that came from the receiver; zero when none. */
+    std::uint64_t echo = 0;
 };
 
 /** Asks a peer for a newer settings revision than the one it has. */
