membership: heartbeats, life of VMs and confirmed views

Ages of the platform's answer pass from peer to peer; a majority stands in while the platform answers nobody.

--- /dev/null
+++ b/src/systems/heartbeats.cpp
@@ -0,0 +1,349 @@
+#include "systems/heartbeats.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+// Keeps the rank of heartbeat witnesses apart from other rendezvous hashes.
+constexpr std::uint64_t heartbeat_purpose = 3;
+
+// Heartbeats that a VM may miss before it counts as silent.
+constexpr int heartbeats_to_miss = 3;
+
+// Least time between two introductions to the same VM.
+constexpr duration introduce_every = std::chrono::milliseconds(200);
+
+// Time after which a silent VM's sighting is forgotten.
+constexpr duration forget_after = std::chrono::minutes(2);
+
+std::uint64_t mark_of(time_point at)
+{
+    return static_cast<std::uint64_t>(at.time_since_epoch().count());
+}
+
+time_point time_of(std::uint64_t mark)
+{
+    return time_point(duration(static_cast<duration::rep>(mark)));
+}
+
+} // namespace
+
+heartbeats::heartbeats(const node_identity& self) : m_self(self) {}
+
+void heartbeats::settings_changed(
+    std::shared_ptr<const settings_index> settings, time_point now)
+{
+    m_settings = std::move(settings);
+    const std::vector<vm_id> before = m_witness_set;
+    choose_witness_set();
+    if (m_witness_set != before) {
+        m_watching_since = now;
+        m_next_due = now;
+    }
+}
+
+void heartbeats::vm_list_changed(const vm_list_read& list)
+{
+    if (list.version < m_list) {
+        return;
+    }
+    m_list = list.version;
+    m_listed.clear();
+    for (const listed_vm& entry : list.vms) {
+        m_listed[entry.vm] = entry.leaving;
+    }
+}
+
+void heartbeats::platform_answered(time_point now)
+{
+    m_platform_at = now;
+    m_confirmed_at = now;
+}
+
+void heartbeats::peer_restarted(vm_id vm)
+{
+    m_sightings.erase(vm);
+}
+
+void heartbeats::heard(vm_id from, time_point now)
+{
+    if (from != m_self.vm) {
+        m_sightings[from].heard = now;
+    }
+}
+
+void heartbeats::receive(vm_id from, const heartbeat& message, time_point now,
+                         outbox& out)
+{
+    if (from == m_self.vm) {
+        return;
+    }
+    peer_sighting& peer = m_sightings[from];
+    peer.heard = now;
+    // Nothing of this goes back within one process; messages may.
+    peer.revision = std::max(peer.revision, message.revision);
+    peer.list = std::max(peer.list, message.list);
+    peer.leaving = peer.leaving || message.leaving;
+    peer.mark = std::max(peer.mark, message.mark);
+    // An echo proves that the message was written after this VM's heartbeat;
+    // without it, the message may have waited anywhere for any time.
+    const time_point asked = time_of(message.echo);
+    if (message.echo != 0 && asked >= m_self.started && asked <= now) {
+        peer.answered = std::max(peer.answered.value_or(asked), asked);
+        take_confirmation(message, asked);
+    }
+    if (message.wants_reply) {
+        send(from, false, now, out);
+    }
+}
+
+void heartbeats::reach(vm_id vm, time_point now, outbox& out)
+{
+    if (vm == m_self.vm || m_settings == nullptr ||
+        m_settings->find(vm) == nullptr) {
+        return;
+    }
+    const auto last = m_introduced.find(vm);
+    if (last != m_introduced.end() && now - last->second < introduce_every) {
+        return;
+    }
+    m_introduced[vm] = now;
+    send(vm, true, now, out);
+}
+
+void heartbeats::leave(time_point now, outbox& out)
+{
+    m_leaving = true;
+    std::vector<vm_id> targets = m_witness_set;
+    for (const auto& [vm, sighting] : m_sightings) {
+        if (!watches(vm) && heard_lately(vm, now)) {
+            targets.push_back(vm);
+        }
+    }
+    for (const vm_id vm : targets) {
+        send(vm, false, now, out);
+    }
+}
+
+void heartbeats::tick(time_point now, outbox& out)
+{
+    if (m_settings == nullptr || now < m_next_due) {
+        return;
+    }
+    m_next_due = now + fleet().heartbeat_every;
+    for (const vm_id vm : m_witness_set) {
+        send(vm, true, now, out);
+    }
+    forget_silent(now);
+}
+
+bool heartbeats::view_confirmed(time_point now) const
+{
+    if (m_settings == nullptr) {
+        return false;
+    }
+    if (m_confirmed_at && now - *m_confirmed_at <= fleet().view_life) {
+        return true;
+    }
+    return peers_confirm(now);
+}
+
+bool heartbeats::likely_alive(vm_id vm, time_point now) const
+{
+    if (vm == m_self.vm || heard_lately(vm, now)) {
+        return true;
+    }
+    if (m_settings == nullptr) {
+        return false;
+    }
+    if (watches(vm) && now - m_watching_since > silence_limit()) {
+        return false;
+    }
+    if (m_list.is_set()) {
+        return m_listed.count(vm) != 0;
+    }
+    return m_settings->find(vm) != nullptr;
+}
+
+bool heartbeats::is_leaving(vm_id vm) const
+{
+    if (vm == m_self.vm) {
+        return m_leaving;
+    }
+    const peer_sighting* seen = find(vm);
+    if (seen != nullptr && seen->mark != 0) {
+        return seen->leaving;
+    }
+    const auto listed = m_listed.find(vm);
+    return listed != m_listed.end() && listed->second;
+}
+
+const peer_sighting* heartbeats::find(vm_id vm) const
+{
+    const auto found = m_sightings.find(vm);
+    return found == m_sightings.end() ? nullptr : &found->second;
+}
+
+const std::vector<vm_id>& heartbeats::witness_set() const
+{
+    return m_witness_set;
+}
+
+std::optional<vm_id> heartbeats::ahead_of_us() const
+{
+    if (m_settings == nullptr) {
+        return std::nullopt;
+    }
+    const peer_sighting* best = nullptr;
+    vm_id newest;
+    for (const auto& [vm, seen] : m_sightings) {
+        if (best == nullptr || seen.revision > best->revision) {
+            best = &seen;
+            newest = vm;
+        }
+    }
+    if (best == nullptr || best->revision <= m_settings->all().revision) {
+        return std::nullopt;
+    }
+    return newest;
+}
+
+list_version heartbeats::list() const
+{
+    return m_list;
+}
+
+const fleet_settings& heartbeats::fleet() const
+{
+    return m_settings->fleet();
+}
+
+void heartbeats::choose_witness_set()
+{
+    const auto seed = stable_hash(m_self.vm.value(), heartbeat_purpose);
+    std::vector<std::pair<std::uint64_t, vm_id>> scored;
+    for (const auto& vm : m_settings->all().vms) {
+        if (vm.id != m_self.vm) {
+            scored.emplace_back(stable_hash(seed, vm.id.value()), vm.id);
+        }
+    }
+    const std::size_t count =
+        std::min<std::size_t>(scored.size(), fleet().witnesses);
+    std::partial_sort(scored.begin(),
+                      scored.begin() + static_cast<std::ptrdiff_t>(count),
+                      scored.end());
+    m_witness_set.clear();
+    for (std::size_t i = 0; i < count; ++i) {
+        m_witness_set.push_back(scored[i].second);
+    }
+}
+
+heartbeat heartbeats::compose(vm_id to, time_point now) const
+{
+    heartbeat message;
+    if (m_settings != nullptr) {
+        message.revision = m_settings->all().revision;
+        const duration life = fleet().view_life;
+        message.platform_answered =
+            m_platform_at && now - *m_platform_at <= life;
+        if (m_confirmed_at && now - *m_confirmed_at <= life) {
+            message.confirmed_age =
+                std::max(now - *m_confirmed_at, duration(1));
+        }
+    }
+    message.list = m_list;
+    message.leaving = m_leaving;
+    message.mark = mark_of(now);
+    if (const peer_sighting* peer = find(to)) {
+        message.echo = peer->mark;
+    }
+    return message;
+}
+
+void heartbeats::send(vm_id to, bool wants_reply, time_point now, outbox& out)
+{
+    heartbeat message = compose(to, now);
+    message.wants_reply = wants_reply;
+    out.to_peer(to, message);
+}
+
+void heartbeats::forget_silent(time_point now)
+{
+    for (auto it = m_sightings.begin(); it != m_sightings.end();) {
+        const bool silent = now - it->second.heard > forget_after;
+        it = silent ? m_sightings.erase(it) : std::next(it);
+    }
+    for (auto it = m_introduced.begin(); it != m_introduced.end();) {
+        const bool done = now - it->second >= introduce_every;
+        it = done ? m_introduced.erase(it) : std::next(it);
+    }
+}
+
+// A peer that holds no newer revision than this VM vouches that nothing newer
+// was published when the platform answered. Ages pass from peer to peer and
+// only grow, so two VMs cannot confirm each other for ever.
+void heartbeats::take_confirmation(const heartbeat& message, time_point asked)
+{
+    if (m_settings == nullptr || message.confirmed_age <= duration(0) ||
+        message.revision > m_settings->all().revision) {
+        return;
+    }
+    const time_point confirmed = asked - message.confirmed_age;
+    m_confirmed_at = std::max(m_confirmed_at.value_or(confirmed), confirmed);
+}
+
+// While the platform answers nobody, a majority that talks to each other
+// stands for the fleet.
+bool heartbeats::peers_confirm(time_point now) const
+{
+    std::size_t agreeing = 0;
+    for (const vm_id vm : m_witness_set) {
+        const peer_sighting* peer = find(vm);
+        if (peer == nullptr || !peer->answered ||
+            now - *peer->answered > fleet().view_life) {
+            continue;
+        }
+        if (peer->revision > m_settings->all().revision) {
+            return false;
+        }
+        ++agreeing;
+    }
+    return agreeing >= peers_needed();
+}
+
+// In a small fleet the set and this VM are all VMs, and a true majority is
+// counted. In a large one the set is a sample, and a majority of a sample may
+// stand in the smaller part of a split fleet; all but one seldom do.
+std::size_t heartbeats::peers_needed() const
+{
+    const std::size_t others = m_witness_set.size();
+    const std::size_t all = others + 1;
+    if (all >= m_settings->all().vms.size()) {
+        return all / 2;
+    }
+    return others - 1;
+}
+
+bool heartbeats::heard_lately(vm_id vm, time_point now) const
+{
+    const peer_sighting* seen = find(vm);
+    return seen != nullptr && now - seen->heard <= silence_limit();
+}
+
+bool heartbeats::watches(vm_id vm) const
+{
+    return std::find(m_witness_set.begin(), m_witness_set.end(), vm) !=
+           m_witness_set.end();
+}
+
+duration heartbeats::silence_limit() const
+{
+    if (m_settings == nullptr) {
+        return fleet_settings().heartbeat_every * heartbeats_to_miss;
+    }
+    return fleet().heartbeat_every * heartbeats_to_miss;
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/vm_liveness.hpp
@@ -0,0 +1,24 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_VM_LIVENESS_HPP
+#define CRANBERRYWOOD_SYSTEMS_VM_LIVENESS_HPP
+
+#include "units/ids.hpp"
+#include "units/time.hpp"
+
+namespace cranberrywood {
+
+/** What other systems ask about the life of VMs. Tests mock it. */
+class vm_liveness
+{
+public:
+    virtual ~vm_liveness() = default;
+
+    /** Returns whether a VM probably runs; a guess, never a proof. */
+    virtual bool likely_alive(vm_id vm, time_point now) const = 0;
+
+    /** Returns whether a VM is known to be leaving. */
+    virtual bool is_leaving(vm_id vm) const = 0;
+};
+
+} // namespace cranberrywood
+
+#endif
