leases: role groups held by quorum leases

Candidates ask the witness set of a group; a witness grants a group to one process at a time and nothing within a lease of its start. Hand-over by wish, drain and release. A change of the VM slots needs both witness sets.

--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -24,6 +24,7 @@
     lease_acquired = 1201,
     lease_released = 1202,
     lease_lapsed = 1203,
+    membership_changed = 1204,
 };
 
 } // namespace cranberrywood
--- /dev/null
+++ b/src/systems/lease_policy.cpp
@@ -0,0 +1,67 @@
+#include "systems/lease_policy.hpp"
+
+namespace cranberrywood {
+
+namespace {
+
+constexpr std::int64_t million = 1000000;
+
+} // namespace
+
+std::size_t lease_policy::majority(std::size_t witnesses) const
+{
+    return witnesses / 2 + 1;
+}
+
+// The witness counts the lease from the arrival of the ask, which is later
+// than its sending. The holder's clock may be the slower one of the two.
+time_point lease_policy::holder_end(time_point sent, time_point /*received*/,
+                                    const fleet_settings& fleet) const
+{
+    const duration part = fleet.lease / million + duration(1);
+    const duration drift = part * fleet.clock_drift_ppm;
+    return sent + fleet.lease - drift;
+}
+
+// The witness may have granted a lease just before it lost its memory. That
+// holder's clock is at most as slow as holder_end allows for.
+time_point lease_policy::first_grant(time_point started,
+                                     const fleet_settings& fleet) const
+{
+    return started + fleet.lease;
+}
+
+bool lease_policy::same_membership(revision_number own,
+                                   revision_number asked) const
+{
+    return own == asked;
+}
+
+bool lease_policy::release_covers(std::uint64_t released,
+                                  std::uint64_t asked) const
+{
+    return released >= asked;
+}
+
+bool lease_policy::binds_successor() const
+{
+    return true;
+}
+
+bool lease_policy::keeps_out(vm_id holder, vm_id asker) const
+{
+    return holder != asker;
+}
+
+bool lease_policy::joins_sets() const
+{
+    return true;
+}
+
+const lease_policy& default_lease_policy()
+{
+    static const lease_policy policy;
+    return policy;
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/lease_witness.cpp
@@ -0,0 +1,125 @@
+#include "systems/lease_witness.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+lease_witness::lease_witness(const node_identity& self,
+                             const lease_policy& policy)
+    : m_self(self), m_policy(policy)
+{
+}
+
+lease_grant lease_witness::ask(vm_id from, const lease_ask& message,
+                               const role_layout& layout, time_point now)
+{
+    lease_grant answer;
+    answer.round = message.round;
+    const bool comparable =
+        m_policy.same_membership(layout.membership(), message.membership);
+    const bool granting = comparable && !is_young(layout, now);
+    for (const role_group_id group : message.groups) {
+        if (!layout.has(group)) {
+            continue;
+        }
+        if (!granting || !may_grant(from, group, now)) {
+            answer.refused.push_back({group, holder(group, now)});
+            continue;
+        }
+        entry& lease = m_entries[group];
+        const bool renewed = lease.holder == from && !lease.former;
+        const time_point until = now + layout.fleet().lease;
+        lease.round =
+            renewed ? std::max(lease.round, message.round) : message.round;
+        lease.until = renewed ? std::max(lease.until, until) : until;
+        lease.holder = from;
+        lease.former = false;
+        answer.granted.push_back(group);
+    }
+    return answer;
+}
+
+void lease_witness::release(vm_id from, const lease_release& message)
+{
+    for (const role_group_id group : message.groups) {
+        const auto found = m_entries.find(group);
+        if (found == m_entries.end() || found->second.former ||
+            found->second.holder != from ||
+            !m_policy.release_covers(message.round, found->second.round)) {
+            continue;
+        }
+        m_entries.erase(found);
+    }
+}
+
+// The former process may still run, paused or cut off, and act on its lease.
+void lease_witness::peer_restarted(vm_id vm)
+{
+    if (!m_policy.binds_successor()) {
+        return;
+    }
+    for (auto& [group, lease] : m_entries) {
+        lease.former = lease.former || lease.holder == vm;
+    }
+}
+
+void lease_witness::layout_changed(const role_layout& before,
+                                   const role_layout& after, time_point now)
+{
+    if (now >= m_moved_until) {
+        m_moved.clear();
+    }
+    for (const role_group_id group : after.map().groups()) {
+        if (before.witnesses(group) != after.witnesses(group)) {
+            m_moved.insert(group);
+        }
+    }
+    m_moved_until = now + std::max(before.fleet().lease, after.fleet().lease);
+}
+
+vm_id lease_witness::holder(role_group_id group, time_point now) const
+{
+    const auto found = m_entries.find(group);
+    if (found == m_entries.end() || now >= found->second.until) {
+        return {};
+    }
+    return found->second.holder;
+}
+
+bool lease_witness::is_young(const role_layout& layout, time_point now) const
+{
+    return now < m_policy.first_grant(m_self.started, layout.fleet());
+}
+
+std::vector<group_holder> lease_witness::remove_expired(time_point now)
+{
+    std::vector<group_holder> expired;
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (now < it->second.until) {
+            ++it;
+            continue;
+        }
+        expired.push_back({it->first, it->second.holder});
+        it = m_entries.erase(it);
+    }
+    return expired;
+}
+
+std::size_t lease_witness::size() const
+{
+    return m_entries.size();
+}
+
+bool lease_witness::may_grant(vm_id from, role_group_id group,
+                              time_point now) const
+{
+    const auto found = m_entries.find(group);
+    const bool free = found == m_entries.end() || now >= found->second.until;
+    if (free) {
+        return now >= m_moved_until || m_moved.count(group) == 0;
+    }
+    return !found->second.former &&
+           !m_policy.keeps_out(found->second.holder, from);
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/lease_witness.hpp
@@ -0,0 +1,74 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_LEASE_WITNESS_HPP
+#define CRANBERRYWOOD_SYSTEMS_LEASE_WITNESS_HPP
+
+#include "core/messages.hpp"
+#include "core/node_identity.hpp"
+#include "systems/lease_policy.hpp"
+#include "systems/role_layout.hpp"
+
+#include <unordered_map>
+#include <unordered_set>
+
+namespace cranberrywood {
+
+/**
+ * Witness side of the role leases: a table with one entry per role group that
+ * says which process of which VM holds this VM's grant, and until when. Soft
+ * state; a witness that may have forgotten a grant gives none for one lease.
+ */
+class lease_witness
+{
+public:
+    lease_witness(const node_identity& self, const lease_policy& policy);
+
+    /** Answers an ask under the present layout. */
+    lease_grant ask(vm_id from, const lease_ask& message,
+                    const role_layout& layout, time_point now);
+
+    /** Ends the leases that the sender gave up. */
+    void release(vm_id from, const lease_release& message);
+
+    /** Leaves leases of a VM's former process to run out. */
+    void peer_restarted(vm_id vm);
+
+    /**
+     * Takes a new membership: for one lease, groups whose witness set changed
+     * go to nobody but their present holders.
+     */
+    void layout_changed(const role_layout& before, const role_layout& after,
+                        time_point now);
+
+    /** Returns the VM that holds the grant; unset when nobody does. */
+    vm_id holder(role_group_id group, time_point now) const;
+
+    /** Returns whether this witness may have forgotten grants. */
+    bool is_young(const role_layout& layout, time_point now) const;
+
+    /** Removes the entries that ran out and returns their holders. */
+    std::vector<group_holder> remove_expired(time_point now);
+
+    /** Returns the number of entries. */
+    std::size_t size() const;
+
+private:
+    struct entry
+    {
+        vm_id holder;
+        time_point until;
+        std::uint64_t round = 0;
+        /** The holder's process was replaced since. */
+        bool former = false;
+    };
+
+    bool may_grant(vm_id from, role_group_id group, time_point now) const;
+
+    node_identity m_self;
+    const lease_policy& m_policy;
+    std::unordered_map<role_group_id, entry> m_entries;
+    std::unordered_set<role_group_id> m_moved;
+    time_point m_moved_until;
+};
+
+} // namespace cranberrywood
+
+#endif
--- /dev/null
+++ b/src/systems/role_leases.cpp
@@ -0,0 +1,296 @@
+#include "systems/role_leases.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+// Candidates that a witness tells when a lease ran out.
+constexpr std::size_t candidates_to_tell = 2;
+
+// Sweeps of the witness table in one renewal interval.
+constexpr int sweeps_per_renewal = 4;
+
+// Least time between two queries about one group.
+constexpr duration query_pause = std::chrono::milliseconds(200);
+
+} // namespace
+
+role_leases::role_leases(const node_identity& self, random_source& random,
+                         const vm_liveness& liveness,
+                         const lease_policy& policy)
+    : m_self(self), m_random(random), m_witness(self, policy),
+      m_preference(self, liveness, m_members, m_witness),
+      m_candidate(self, random, m_preference, m_members, policy)
+{
+}
+
+void role_leases::settings_changed(
+    std::shared_ptr<const settings_index> settings, time_point now, outbox& out)
+{
+    m_now = now;
+    const bool first = !m_members.known();
+    if (!m_members.take(std::move(settings), now) || first) {
+        return;
+    }
+    const role_layout& before = *m_members.previous();
+    m_witness.layout_changed(before, m_members.current(), now);
+    m_candidate.membership_changed(now, out);
+    out.log(log_code::membership_changed,
+            "membership=" +
+                std::to_string(m_members.current().membership().value()));
+}
+
+void role_leases::peer_restarted(vm_id vm)
+{
+    m_witness.peer_restarted(vm);
+}
+
+void role_leases::receive(vm_id from, const lease_ask& message, time_point now,
+                          outbox& out)
+{
+    m_now = now;
+    if (m_members.known()) {
+        out.to_peer(from,
+                    m_witness.ask(from, message, m_members.current(), now));
+    }
+}
+
+void role_leases::receive(vm_id from, const lease_grant& message,
+                          time_point now, outbox& out)
+{
+    m_now = now;
+    if (!m_members.known()) {
+        return;
+    }
+    for (const group_holder& refusal : message.refused) {
+        if (refusal.holder.is_set()) {
+            take_report(refusal, now);
+        }
+    }
+    m_candidate.receive(from, message, now, out);
+}
+
+void role_leases::receive(vm_id from, const lease_release& message,
+                          time_point now, outbox& /*out*/)
+{
+    m_now = now;
+    m_witness.release(from, message);
+}
+
+void role_leases::receive(vm_id from, const role_wish& message, time_point now,
+                          outbox& out)
+{
+    m_now = now;
+    if (!m_members.known()) {
+        return;
+    }
+    holder_report report;
+    for (const role_group_id group : message.groups) {
+        m_candidate.wished(from, group, now);
+        if (!m_candidate.holds(group, now)) {
+            report.holders.push_back({group, known_holder(group, now)});
+        }
+    }
+    if (!report.holders.empty()) {
+        out.to_peer(from, report);
+    }
+}
+
+void role_leases::receive(vm_id from, const holder_query& message,
+                          time_point now, outbox& out)
+{
+    m_now = now;
+    if (!m_members.known()) {
+        return;
+    }
+    const bool young = m_witness.is_young(m_members.current(), now);
+    holder_report report;
+    for (const role_group_id group : message.groups) {
+        const vm_id holder = known_holder(group, now);
+        // An empty entry of a young witness says nothing.
+        if (holder.is_set() || (!young && is_witness(group))) {
+            report.holders.push_back({group, holder});
+        }
+    }
+    if (!report.holders.empty()) {
+        out.to_peer(from, report);
+    }
+}
+
+void role_leases::receive(vm_id /*from*/, const holder_report& message,
+                          time_point now, outbox& /*out*/)
+{
+    m_now = now;
+    if (!m_members.known()) {
+        return;
+    }
+    for (const group_holder& report : message.holders) {
+        if (m_members.current().has(report.group)) {
+            take_report(report, now);
+        }
+    }
+}
+
+void role_leases::tick(time_point now, outbox& out)
+{
+    m_now = now;
+    if (!m_members.known()) {
+        return;
+    }
+    if (m_members.expire(now)) {
+        m_candidate.membership_settled(now, out);
+    }
+    if (now >= m_next_sweep) {
+        const duration renewal = m_members.current().fleet().renew_every;
+        m_next_sweep = now + renewal / sweeps_per_renewal;
+        announce_vacant(m_witness.remove_expired(now), now, out);
+        for (const role_group_id group : m_preference.take_unwatched()) {
+            m_hints.want(group);
+        }
+    }
+    m_candidate.tick(now, out);
+    query_holders(now, out);
+}
+
+std::vector<role_change> role_leases::take_changes()
+{
+    return m_candidate.take_changes();
+}
+
+void role_leases::release(role_group_id group, time_point now, outbox& out)
+{
+    m_now = now;
+    m_candidate.release(group, out);
+    out.log(log_code::lease_released, "group=" + std::to_string(group.value()));
+    const vm_id next = m_preference.first_usable(group, m_self.vm, now);
+    if (next.is_set()) {
+        out.to_peer(next, holder_report{{{group, vm_id()}}});
+    }
+}
+
+void role_leases::leave(time_point now, outbox& out)
+{
+    m_now = now;
+    m_candidate.leave(now, out);
+}
+
+bool role_leases::holds(role_group_id group, time_point now) const
+{
+    return m_candidate.holds(group, now);
+}
+
+time_point role_leases::held_until(role_group_id group) const
+{
+    return m_candidate.held_until(group);
+}
+
+vm_id role_leases::believed_holder(role_group_id group) const
+{
+    const vm_id known = known_holder(group, m_now);
+    if (known.is_set()) {
+        return known;
+    }
+    const vm_id named = m_hints.find(group, m_now);
+    if (named.is_set()) {
+        return named;
+    }
+    return m_preference.first_usable(group, vm_id(), m_now);
+}
+
+void role_leases::learned_holder(role_group_id group, vm_id holder)
+{
+    if (!m_members.known() || !m_members.current().has(group)) {
+        return;
+    }
+    if (!holder.is_set()) {
+        m_hints.forget(group);
+        return;
+    }
+    const duration life = 2 * m_members.current().fleet().lease;
+    m_hints.learn(group, holder, m_now + life);
+}
+
+const role_map& role_leases::map() const
+{
+    return m_members.current().map();
+}
+
+std::size_t role_leases::candidacies() const
+{
+    return m_candidate.size();
+}
+
+std::size_t role_leases::granted() const
+{
+    return m_witness.size();
+}
+
+vm_id role_leases::known_holder(role_group_id group, time_point now) const
+{
+    return m_candidate.holds(group, now) ? m_self.vm
+                                         : m_witness.holder(group, now);
+}
+
+bool role_leases::is_witness(role_group_id group) const
+{
+    const auto& set = m_members.current().witnesses(group);
+    return std::find(set.begin(), set.end(), m_self.vm) != set.end();
+}
+
+void role_leases::take_report(const group_holder& report, time_point now)
+{
+    if (!report.holder.is_set()) {
+        m_preference.seems_vacant(report.group, now);
+        m_candidate.seems_vacant(report.group, now);
+        return;
+    }
+    // A former process of this VM: it hands over by running out only.
+    if (report.holder == m_self.vm) {
+        return;
+    }
+    learned_holder(report.group, report.holder);
+    m_preference.seems_held(report.group);
+    m_candidate.seems_held(report.group, report.holder);
+}
+
+// Candidates of a large fleet are seldom witnesses of the groups that they
+// stand by for; the witnesses see first that a holder is gone.
+void role_leases::announce_vacant(const std::vector<group_holder>& expired,
+                                  time_point now, outbox& out)
+{
+    std::map<vm_id, holder_report> reports;
+    for (const group_holder& lapsed : expired) {
+        std::size_t told = 0;
+        for (const vm_id vm : m_members.current().candidates(lapsed.group)) {
+            if (vm == lapsed.holder || !m_preference.is_usable(vm, now)) {
+                continue;
+            }
+            reports[vm].holders.push_back({lapsed.group, vm_id()});
+            if (++told == candidates_to_tell) {
+                break;
+            }
+        }
+    }
+    for (const auto& [vm, report] : reports) {
+        out.to_peer(vm, report);
+    }
+}
+
+void role_leases::query_holders(time_point now, outbox& out)
+{
+    batches queries;
+    for (const role_group_id group : m_hints.take_wanted(now, query_pause)) {
+        const auto& set = m_members.current().witnesses(group);
+        if (set.empty() || is_witness(group)) {
+            continue;
+        }
+        queries[set[m_random.below(set.size())]].push_back(group);
+    }
+    for (const auto& [witness, groups] : queries) {
+        out.to_peer(witness, holder_query{groups});
+    }
+}
+
+} // namespace cranberrywood
