--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -1338,6 +1338,10 @@
 void lease_release::__set_groups(const std::vector<int64_t> & val) {
   this->groups = val;
 }
+
+void lease_release::__set_round(const int64_t val) {
+  this->round = val;
+}
 std::ostream& operator<<(std::ostream& out, const lease_release& obj)
 {
   obj.printTo(out);
@@ -1386,6 +1390,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1415,6 +1427,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1423,15 +1439,18 @@
 void swap(lease_release &a, lease_release &b) {
   using ::std::swap;
   swap(a.groups, b.groups);
+  swap(a.round, b.round);
   swap(a.__isset, b.__isset);
 }
 
 lease_release::lease_release(const lease_release& other46) {
   groups = other46.groups;
+  round = other46.round;
   __isset = other46.__isset;
 }
 lease_release& lease_release::operator=(const lease_release& other47) {
   groups = other47.groups;
+  round = other47.round;
   __isset = other47.__isset;
   return *this;
 }
@@ -1439,6 +1458,7 @@
   using ::apache::thrift::to_string;
   out << "lease_release(";
   out << "groups=" << to_string(groups);
+  out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
@@ -1802,6 +1822,18 @@
 void heartbeat::__set_wants_reply(const bool val) {
   this->wants_reply = val;
 }
+
+void heartbeat::__set_confirmed_age(const int64_t val) {
+  this->confirmed_age = val;
+}
+
+void heartbeat::__set_mark(const int64_t val) {
+  this->mark = val;
+}
+
+void heartbeat::__set_echo(const int64_t val) {
+  this->echo = val;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -1870,6 +1902,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirmed_age);
+          this->__isset.confirmed_age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->mark);
+          this->__isset.mark = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echo);
+          this->__isset.echo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1907,6 +1963,18 @@
   xfer += oprot->writeBool(this->wants_reply);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("confirmed_age", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->confirmed_age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mark", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->mark);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echo", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->echo);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1919,6 +1987,9 @@
   swap(a.platform_answered, b.platform_answered);
   swap(a.leaving, b.leaving);
   swap(a.wants_reply, b.wants_reply);
+  swap(a.confirmed_age, b.confirmed_age);
+  swap(a.mark, b.mark);
+  swap(a.echo, b.echo);
   swap(a.__isset, b.__isset);
 }
 
@@ -1928,6 +1999,9 @@
   platform_answered = other72.platform_answered;
   leaving = other72.leaving;
   wants_reply = other72.wants_reply;
+  confirmed_age = other72.confirmed_age;
+  mark = other72.mark;
+  echo = other72.echo;
   __isset = other72.__isset;
 }
 heartbeat& heartbeat::operator=(const heartbeat& other73) noexcept {
@@ -1936,6 +2010,9 @@
   platform_answered = other73.platform_answered;
   leaving = other73.leaving;
   wants_reply = other73.wants_reply;
+  confirmed_age = other73.confirmed_age;
+  mark = other73.mark;
+  echo = other73.echo;
   __isset = other73.__isset;
   return *this;
 }
@@ -1947,6 +2024,9 @@
   out << ", " << "platform_answered=" << to_string(platform_answered);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "wants_reply=" << to_string(wants_reply);
+  out << ", " << "confirmed_age=" << to_string(confirmed_age);
+  out << ", " << "mark=" << to_string(mark);
+  out << ", " << "echo=" << to_string(echo);
   out << ")";
 }
 
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -602,8 +602,9 @@
 std::ostream& operator<<(std::ostream& out, const lease_grant& obj);
 
 typedef struct _lease_release__isset {
-  _lease_release__isset() : groups(false) {}
+  _lease_release__isset() : groups(false), round(false) {}
   bool groups :1;
+  bool round :1;
 } _lease_release__isset;
 
 class lease_release : public virtual ::apache::thrift::TBase {
@@ -611,20 +612,26 @@
 
   lease_release(const lease_release&);
   lease_release& operator=(const lease_release&);
-  lease_release() noexcept {
+  lease_release() noexcept
+                : round(0) {
   }
 
   virtual ~lease_release() noexcept;
   std::vector<int64_t>  groups;
+  int64_t round;
 
   _lease_release__isset __isset;
 
   void __set_groups(const std::vector<int64_t> & val);
 
+  void __set_round(const int64_t val);
+
   bool operator == (const lease_release & rhs) const
   {
     if (!(groups == rhs.groups))
       return false;
+    if (!(round == rhs.round))
+      return false;
     return true;
   }
   bool operator != (const lease_release &rhs) const {
@@ -770,12 +777,15 @@
 std::ostream& operator<<(std::ostream& out, const holder_report& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : revision(false), list_version(false), platform_answered(false), leaving(false), wants_reply(false) {}
+  _heartbeat__isset() : revision(false), list_version(false), platform_answered(false), leaving(false), wants_reply(false), confirmed_age(false), mark(false), echo(false) {}
   bool revision :1;
   bool list_version :1;
   bool platform_answered :1;
   bool leaving :1;
   bool wants_reply :1;
+  bool confirmed_age :1;
+  bool mark :1;
+  bool echo :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -788,7 +798,10 @@
               list_version(0),
               platform_answered(0),
               leaving(0),
-              wants_reply(0) {
+              wants_reply(0),
+              confirmed_age(0),
+              mark(0),
+              echo(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -797,6 +810,9 @@
   bool platform_answered;
   bool leaving;
   bool wants_reply;
+  int64_t confirmed_age;
+  int64_t mark;
+  int64_t echo;
 
   _heartbeat__isset __isset;
 
@@ -810,6 +826,12 @@
 
   void __set_wants_reply(const bool val);
 
+  void __set_confirmed_age(const int64_t val);
+
+  void __set_mark(const int64_t val);
+
+  void __set_echo(const int64_t val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -822,6 +844,12 @@
       return false;
     if (!(wants_reply == rhs.wants_reply))
       return false;
+    if (!(confirmed_age == rhs.confirmed_age))
+      return false;
+    if (!(mark == rhs.mark))
+      return false;
+    if (!(echo == rhs.echo))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -84,6 +84,7 @@
 
 struct lease_release {
   1: list<i64> groups
+  2: i64 round
 }
 
 struct role_wish {
@@ -104,6 +105,9 @@
   3: bool platform_answered
   4: bool leaving
   5: bool wants_reply
+  6: i64 confirmed_age
+  7: i64 mark
+  8: i64 echo
 }
 
 struct revision_pull {
--- a/src/wire/peer_fields.hpp
+++ b/src/wire/peer_fields.hpp
@@ -86,6 +86,7 @@
                  typename D::template wired<wire::lease_release> w)
 {
     copy(c.groups, w.groups);
+    copy(c.round, w.round);
 }
 
 template <class D>
@@ -118,6 +119,9 @@
     copy(c.platform_answered, w.platform_answered);
     copy(c.leaving, w.leaving);
     copy(c.wants_reply, w.wants_reply);
+    copy(c.confirmed_age, w.confirmed_age);
+    copy(c.mark, w.mark);
+    copy(c.echo, w.echo);
 }
 
 template <class D>
