--- /dev/null
+++ b/src/systems/extra_budget.cpp
@@ -0,0 +1,40 @@
+#include "systems/extra_budget.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+constexpr std::uint64_t one_send = 100;
+
+// Savings from quiet times must not turn into a burst at overload: they are
+// bounded by a few sends, or by the share of this many queries as wide as
+// the last one.
+constexpr std::uint64_t min_saved = 20 * one_send;
+constexpr std::uint64_t saved_queries = 4;
+
+} // namespace
+
+void extra_budget::first_sends(std::uint64_t sends, std::uint32_t extra_percent)
+{
+    const std::uint64_t share = sends * extra_percent;
+    const std::uint64_t most = std::max(min_saved, saved_queries * share);
+    m_hundredths = std::min(m_hundredths + share, most);
+}
+
+bool extra_budget::take()
+{
+    if (m_hundredths < one_send) {
+        return false;
+    }
+    m_hundredths -= one_send;
+    return true;
+}
+
+std::uint64_t extra_budget::available() const
+{
+    return m_hundredths / one_send;
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/extra_budget.hpp
@@ -0,0 +1,30 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_EXTRA_BUDGET_HPP
+#define CRANBERRYWOOD_SYSTEMS_EXTRA_BUDGET_HPP
+
+#include <cstdint>
+
+namespace cranberrywood {
+
+/**
+ * Budget of hedges and retries together, as a share of first sends. As every
+ * entry VM keeps to its own, the fleet's extra load is bounded by the share.
+ */
+class extra_budget
+{
+public:
+    /** Adds the share of first sends that a service allows. */
+    void first_sends(std::uint64_t sends, std::uint32_t extra_percent);
+
+    /** Takes one extra send from the budget; returns whether it had one. */
+    bool take();
+
+    /** Returns the number of extra sends that the budget has at present. */
+    std::uint64_t available() const;
+
+private:
+    std::uint64_t m_hundredths = 0;
+};
+
+} // namespace cranberrywood
+
+#endif
--- /dev/null
+++ b/src/systems/latency_estimate.cpp
@@ -0,0 +1,93 @@
+#include "systems/latency_estimate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberrywood {
+
+namespace {
+
+constexpr duration halve_every = std::chrono::seconds(5);
+constexpr std::uint64_t min_samples = 50;
+
+// Lower end of the first bucket; the last one ends 24 octaves above.
+constexpr duration first_bucket = std::chrono::microseconds(16);
+
+} // namespace
+
+void latency_estimate::observe(service_id service, duration latency,
+                               time_point now)
+{
+    histogram& h = m_histograms[service];
+    if (h.total == 0) {
+        h.halved_at = now;
+    }
+    if (now - h.halved_at >= halve_every) {
+        halve(h);
+        h.halved_at = now;
+    }
+    ++h.samples[bucket_of(latency)];
+    ++h.total;
+}
+
+std::optional<duration> latency_estimate::quantile(service_id service,
+                                                   double q) const
+{
+    const auto found = m_histograms.find(service);
+    if (found == m_histograms.end() || found->second.total < min_samples) {
+        return std::nullopt;
+    }
+    const histogram& h = found->second;
+    const auto wanted = static_cast<std::uint64_t>(
+        std::ceil(std::clamp(q, 0.0, 1.0) * static_cast<double>(h.total)));
+    std::uint64_t below = 0;
+    for (std::size_t i = 0; i < bucket_count; ++i) {
+        below += h.samples[i];
+        if (below >= std::max<std::uint64_t>(wanted, 1)) {
+            return upper_end(i);
+        }
+    }
+    return upper_end(bucket_count - 1);
+}
+
+// The bucket is read off the bits of the number of first buckets, without a
+// logarithm: the octave is the position of the top bit, and the next three
+// bits divide the octave.
+std::size_t latency_estimate::bucket_of(duration latency)
+{
+    constexpr std::uint64_t scale = buckets_per_octave;
+    const auto scaled =
+        static_cast<std::uint64_t>(std::max<duration::rep>(latency.count(), 0) *
+                                   scale / first_bucket.count());
+    if (scaled < scale) {
+        return 0;
+    }
+    std::uint64_t rest = scaled;
+    std::size_t octave = 0;
+    while (rest >= 2 * scale) {
+        rest >>= 1U;
+        ++octave;
+    }
+    const std::size_t bucket = octave * scale + (rest - scale);
+    return std::min(bucket, bucket_count - 1);
+}
+
+duration latency_estimate::upper_end(std::size_t bucket)
+{
+    const std::size_t octave = bucket / buckets_per_octave;
+    const auto part = static_cast<duration::rep>(bucket % buckets_per_octave);
+    constexpr auto parts = static_cast<duration::rep>(buckets_per_octave);
+    const duration octave_start = first_bucket * (duration::rep(1) << octave);
+    return octave_start + octave_start * (part + 1) / parts;
+}
+
+void latency_estimate::halve(histogram& h)
+{
+    h.total = 0;
+    for (auto& samples : h.samples) {
+        samples /= 2;
+        h.total += samples;
+    }
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/latency_estimate.hpp
@@ -0,0 +1,53 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_LATENCY_ESTIMATE_HPP
+#define CRANBERRYWOOD_SYSTEMS_LATENCY_ESTIMATE_HPP
+
+#include "units/ids.hpp"
+#include "units/time.hpp"
+
+#include <array>
+#include <optional>
+#include <unordered_map>
+
+namespace cranberrywood {
+
+/**
+ * Histograms of the latencies of sub-requests, one per service. Samples
+ * lose half of their weight at fixed intervals, so that the quantiles follow
+ * the service as it is now.
+ */
+class latency_estimate
+{
+public:
+    /** Takes in the latency of a sub-request that was run. */
+    void observe(service_id service, duration latency, time_point now);
+
+    /**
+     * Returns the q-quantile of a service, for q in [0, 1], as the upper
+     * end of its histogram bucket; none while there are too few samples.
+     */
+    std::optional<duration> quantile(service_id service, double q) const;
+
+private:
+    // Buckets between two powers of two, so that a bucket is at most an
+    // eighth wider than its lower end.
+    static constexpr std::size_t buckets_per_octave = 8;
+    static constexpr std::size_t octaves = 24;
+    static constexpr std::size_t bucket_count = buckets_per_octave * octaves;
+
+    struct histogram
+    {
+        std::array<std::uint32_t, bucket_count> samples{};
+        std::uint64_t total = 0;
+        time_point halved_at;
+    };
+
+    static std::size_t bucket_of(duration latency);
+    static duration upper_end(std::size_t bucket);
+    static void halve(histogram& h);
+
+    std::unordered_map<service_id, histogram> m_histograms;
+};
+
+} // namespace cranberrywood
+
+#endif
--- /dev/null
+++ b/src/systems/replica_choice.cpp
@@ -0,0 +1,183 @@
+#include "systems/replica_choice.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+constexpr std::int64_t latency_samples = 8;
+
+// Latency that is assumed for a server of which nothing is known yet.
+constexpr duration unknown_latency = std::chrono::milliseconds(1);
+
+// A queue length that its owner told loses half of its weight in this time.
+constexpr duration queue_half_life = std::chrono::milliseconds(50);
+constexpr std::int64_t max_halvings = 16;
+
+// A server is asked again at the latest after this time without a word.
+constexpr duration cold_life = std::chrono::seconds(2);
+
+constexpr duration first_avoidance = std::chrono::milliseconds(100);
+constexpr std::uint32_t max_doublings = 5;
+
+// Another data centre is used when the own one is this much more loaded.
+constexpr double local_preference = 2.0;
+
+bool counts_as_failure(shard_outcome outcome)
+{
+    switch (outcome) {
+    case shard_outcome::done:
+    case shard_outcome::cancelled:
+    case shard_outcome::rule_refused:
+    case shard_outcome::too_late:
+    case shard_outcome::version_gone:
+    case shard_outcome::shed:
+        return false;
+    default:
+        return true;
+    }
+}
+
+} // namespace
+
+replica_choice::replica_choice(data_centre_id own) : m_own(own) {}
+
+void replica_choice::settings_changed(
+    std::shared_ptr<const settings_index> settings)
+{
+    m_settings = std::move(settings);
+    for (auto it = m_observed.begin(); it != m_observed.end();) {
+        const bool known = m_settings->find(it->first) != nullptr;
+        it = known ? std::next(it) : m_observed.erase(it);
+    }
+}
+
+void replica_choice::sent(backend_server_id server)
+{
+    ++m_observed[server].outstanding;
+}
+
+void replica_choice::observe(const shard_result& result, duration latency,
+                             time_point now)
+{
+    observed& o = m_observed[result.backend_server];
+    o.outstanding -= o.outstanding > 0 ? 1 : 0;
+    o.queue_length = result.queue_length;
+    o.cold = result.cold;
+    o.seen_at = now;
+    if (result.outcome == shard_outcome::done) {
+        o.failures = 0;
+        o.avoid_until = now;
+        o.latency = o.latency == duration::zero()
+                        ? latency
+                        : o.latency + (latency - o.latency) / latency_samples;
+    } else if (counts_as_failure(result.outcome)) {
+        o.avoid_until = now + first_avoidance * (1U << o.failures);
+        o.failures = std::min(o.failures + 1, max_doublings);
+    }
+}
+
+// The wait is a lower bound of the latency that would have been observed.
+void replica_choice::gave_up(backend_server_id server, duration waited,
+                             time_point now)
+{
+    observed& o = m_observed[server];
+    o.outstanding -= o.outstanding > 0 ? 1 : 0;
+    o.seen_at = now;
+    if (waited > o.latency) {
+        o.latency += (waited - o.latency) / latency_samples;
+    }
+}
+
+std::optional<backend_server_id>
+replica_choice::choose(const std::vector<backend_server_id>& candidates,
+                       bool allow_cold, random_source& random,
+                       time_point now) const
+{
+    std::vector<backend_server_id> local;
+    std::vector<backend_server_id> remote;
+    std::vector<backend_server_id> last_resort;
+    for (const auto server : candidates) {
+        if (!allow_cold && is_cold(server, now)) {
+            continue;
+        }
+        if (failed_recently(server, now)) {
+            last_resort.push_back(server);
+        } else {
+            (is_local(server) ? local : remote).push_back(server);
+        }
+    }
+    const auto near = less_loaded(local, random, now);
+    const auto far = less_loaded(remote, random, now);
+    if (near && far) {
+        const bool near_is_fine =
+            load_of(*near, now) <= local_preference * load_of(*far, now);
+        return near_is_fine ? near : far;
+    }
+    if (near || far) {
+        return near ? near : far;
+    }
+    return less_loaded(last_resort, random, now);
+}
+
+std::optional<backend_server_id>
+replica_choice::less_loaded(const std::vector<backend_server_id>& servers,
+                            random_source& random, time_point now) const
+{
+    if (servers.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t first = random.below(servers.size());
+    if (servers.size() == 1) {
+        return servers[first];
+    }
+    const std::size_t step = 1 + random.below(servers.size() - 1);
+    const backend_server_id a = servers[first];
+    const backend_server_id b = servers[(first + step) % servers.size()];
+    return load_of(b, now) < load_of(a, now) ? b : a;
+}
+
+const replica_choice::observed*
+replica_choice::find(backend_server_id server) const
+{
+    const auto found = m_observed.find(server);
+    return found == m_observed.end() ? nullptr : &found->second;
+}
+
+bool replica_choice::is_cold(backend_server_id server, time_point now) const
+{
+    const observed* o = find(server);
+    return o != nullptr && o->cold && now - o->seen_at < cold_life;
+}
+
+bool replica_choice::failed_recently(backend_server_id server,
+                                     time_point now) const
+{
+    const observed* o = find(server);
+    return o != nullptr && now < o->avoid_until;
+}
+
+bool replica_choice::is_local(backend_server_id server) const
+{
+    const auto* known = m_settings ? m_settings->find(server) : nullptr;
+    return known != nullptr && known->data_centre == m_own;
+}
+
+// Expected time until one more sub-request would be answered, up to a factor.
+double replica_choice::load_of(backend_server_id server, time_point now) const
+{
+    const observed* o = find(server);
+    if (o == nullptr) {
+        return static_cast<double>(unknown_latency.count());
+    }
+    const auto halvings = std::min<std::int64_t>(
+        (now - o->seen_at) / queue_half_life, max_halvings);
+    const std::uint32_t queue = o->queue_length >> halvings;
+    const auto waiting =
+        static_cast<double>(1 + std::max(o->outstanding, queue));
+    const duration latency = std::max(o->latency, unknown_latency);
+    return waiting * static_cast<double>(latency.count());
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/replica_choice.hpp
@@ -0,0 +1,69 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_REPLICA_CHOICE_HPP
+#define CRANBERRYWOOD_SYSTEMS_REPLICA_CHOICE_HPP
+
+#include "core/messages.hpp"
+#include "core/random_source.hpp"
+#include "settings/settings.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace cranberrywood {
+
+/**
+ * Chooses the replica of a shard for a sub-request by what this VM observed:
+ * the less loaded of two, the own data centre first while it is healthy.
+ */
+class replica_choice
+{
+public:
+    explicit replica_choice(data_centre_id own);
+
+    /** Puts new settings in force. */
+    void settings_changed(std::shared_ptr<const settings_index> settings);
+
+    /** Takes note that a sub-request was sent to a server. */
+    void sent(backend_server_id server);
+    /** Takes note of a result that came after the given time. */
+    void observe(const shard_result& result, duration latency, time_point now);
+    /** Takes note that no result came, or that it is no longer awaited. */
+    void gave_up(backend_server_id server, duration waited, time_point now);
+
+    /**
+     * Returns the best of the candidates; none when no candidate may be
+     * used. Cold servers are left out unless they are allowed, servers that
+     * failed a moment ago while there are others.
+     */
+    std::optional<backend_server_id>
+    choose(const std::vector<backend_server_id>& candidates, bool allow_cold,
+           random_source& random, time_point now) const;
+
+private:
+    struct observed
+    {
+        std::uint32_t outstanding = 0;
+        std::uint32_t queue_length = 0;
+        bool cold = false;
+        duration latency{0};
+        time_point seen_at;
+        time_point avoid_until;
+        std::uint32_t failures = 0;
+    };
+
+    const observed* find(backend_server_id server) const;
+    bool is_cold(backend_server_id server, time_point now) const;
+    bool failed_recently(backend_server_id server, time_point now) const;
+    bool is_local(backend_server_id server) const;
+    double load_of(backend_server_id server, time_point now) const;
+    std::optional<backend_server_id>
+    less_loaded(const std::vector<backend_server_id>& servers,
+                random_source& random, time_point now) const;
+
+    data_centre_id m_own;
+    std::shared_ptr<const settings_index> m_settings;
+    std::unordered_map<backend_server_id, observed> m_observed;
+};
+
+} // namespace cranberrywood
+
+#endif
