owner: requests of a lost link keep their place in the window

Cause: a link can be lost while its server lives on and works. The window forgot the requests in flight, so that a cold server could get its cold limit once more on the new link. They now keep their place until the deadline that the server was given, or until it proves to be a new process. Work at a cold server ends a margin before the lease does.

--- a/src/systems/owned_server.hpp
+++ b/src/systems/owned_server.hpp
@@ -31,6 +31,8 @@
     fingerprint print;
     time_point sent_at;
     time_point deadline;
+    /** Time at which the server stops to work on it. */
+    time_point ends_at;
 };
 
 /** Table row of a backend server that this VM owns, or has just owned. */
@@ -49,6 +51,11 @@
     server_window window;
     fair_queue<queued_ask> queue;
     std::unordered_map<sub_request_id, in_flight_ask> in_flight;
+    /**
+     * Ends of requests whose link was lost while they ran. They occupy the
+     * window until then, unless the server proves to be a new process.
+     */
+    std::vector<time_point> orphans;
     held_versions versions;
 
     /** The settings let the server have work. */
--- a/src/systems/owner_links.cpp
+++ b/src/systems/owner_links.cpp
@@ -61,10 +61,10 @@
     if (row.link == link_state::up && same_process) {
         return;
     }
+    check_survival(row, hello.server);
     if (row.link == link_state::up) {
-        m_deaths.push_back({row.id, m_sends.lose_in_flight(row)});
+        note_death(row);
     }
-    check_survival(row, hello.server);
     begin(row, hello, now);
     m_sends.pump(row, now, out);
 }
@@ -74,6 +74,9 @@
 void owner_links::begin(owned_server& row, const backend_hello& hello,
                         time_point now)
 {
+    if (row.process != hello.server) {
+        owner_sends::forget_process(row);
+    }
     row.link = link_state::up;
     row.process = hello.server;
     row.failed_opens = 0;
@@ -87,6 +90,14 @@
     }
 }
 
+void owner_links::note_death(owned_server& row)
+{
+    row.lost_prints = m_sends.lose_in_flight(row);
+    if (!row.lost_prints.empty()) {
+        m_deaths.push_back({row.id, row.lost_prints});
+    }
+}
+
 void owner_links::check_survival(owned_server& row, incarnation process)
 {
     const auto prints = std::exchange(row.lost_prints, {});
@@ -103,12 +114,10 @@
     }
     row.link = link_state::closed;
     row.window.became_cold(now);
-    auto prints = m_sends.lose_in_flight(row);
-    m_sends.end_queue(row, shard_outcome::shed);
-    if (was_connected && !prints.empty()) {
-        row.lost_prints = prints;
-        m_deaths.push_back({row.id, std::move(prints)});
+    if (was_connected) {
+        note_death(row);
     }
+    m_sends.end_queue(row, shard_outcome::shed);
     row.reopen_at = now + back_off(row.failed_opens);
     ++row.failed_opens;
 }
--- a/src/systems/owner_links.hpp
+++ b/src/systems/owner_links.hpp
@@ -46,6 +46,7 @@
 
 private:
     void begin(owned_server& row, const backend_hello& hello, time_point now);
+    void note_death(owned_server& row);
     void check_survival(owned_server& row, incarnation process);
     duration back_off(std::uint32_t failures);
 
--- a/src/systems/owner_sends.cpp
+++ b/src/systems/owner_sends.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+// Work at a cold server ends this much before the lease, as a message may be
+// under way for a while and clocks differ.
+constexpr duration hand_over_margin = std::chrono::milliseconds(200);
+
 shard_outcome outcome_of(backend_outcome o)
 {
     switch (o) {
@@ -119,13 +123,14 @@
 
 void owner_sends::pump(owned_server& row, time_point now, outbox& out)
 {
+    release_orphans(row, now);
     while (row.link == link_state::up && row.window.has_room()) {
         auto next = row.queue.pop(now, row.window.shortest_latency());
         finish_late(row);
         if (!next) {
             return;
         }
-        if (!m_roles.holds(row.group, now)) {
+        if (!may_send(row, now)) {
             finish(&row, next->query, next->ask, shard_outcome::not_owner);
             continue;
         }
@@ -149,6 +154,7 @@
     sent.sent_at = now;
     sent.deadline = item.query->deadline;
     const duration time_left = time_for(row, *item.query, now);
+    sent.ends_at = now + time_left;
     out.issue(send_to_backend{row.id, request_for(item, time_left)});
     row.in_flight.emplace(item.ask.id, std::move(sent));
     row.window.sent();
@@ -156,16 +162,26 @@
     ++m_counts.sent;
 }
 
+bool owner_sends::may_send(const owned_server& row, time_point now) const
+{
+    if (!m_roles.holds(row.group, now)) {
+        return false;
+    }
+    return !row.window.cold() ||
+           m_roles.held_until(row.group) - now > hand_over_margin;
+}
+
 // A cold server must not work for its former owner and its next one at a
 // time, so work that is sent to it ends with the lease.
 duration owner_sends::time_for(const owned_server& row,
                                const owned_query& query, time_point now) const
 {
     const duration left = query.deadline - now;
-    if (!row.window.cold() || !query.request.repeatable) {
+    if (!row.window.cold()) {
         return left;
     }
-    return std::min(left, m_roles.held_until(row.group) - now);
+    return std::min(left,
+                    m_roles.held_until(row.group) - now - hand_over_margin);
 }
 
 void owner_sends::replied(owned_server& row, backend_reply reply,
@@ -238,17 +254,34 @@
     std::vector<fingerprint> prints;
     for (const auto& [id, sent] : row.in_flight) {
         prints.push_back(sent.print);
+        row.orphans.push_back(sent.ends_at);
         if (sent.query) {
             finish(&row, sent.query, sent.ask, shard_outcome::unknown);
         }
     }
     row.in_flight.clear();
-    row.window.forget_in_flight();
     std::sort(prints.begin(), prints.end());
     prints.erase(std::unique(prints.begin(), prints.end()), prints.end());
     return prints;
 }
 
+void owner_sends::forget_process(owned_server& row)
+{
+    row.orphans.clear();
+    row.window.forget_in_flight();
+}
+
+void owner_sends::release_orphans(owned_server& row, time_point now)
+{
+    const auto ended =
+        std::remove_if(row.orphans.begin(), row.orphans.end(),
+                       [now](time_point end) { return end <= now; });
+    for (auto it = ended; it != row.orphans.end(); ++it) {
+        row.window.released();
+    }
+    row.orphans.erase(ended, row.orphans.end());
+}
+
 void owner_sends::tick(owned_server& row, time_point now, outbox& out)
 {
     row.queue.drop_late(now, row.window.shortest_latency());
--- a/src/systems/owner_sends.hpp
+++ b/src/systems/owner_sends.hpp
@@ -58,9 +58,11 @@
     void end_queue(owned_server& row, shard_outcome outcome);
     /**
      * Ends all asks in flight, as their link is gone. Returns their
-     * fingerprints.
+     * fingerprints. The server may still work on them.
      */
     std::vector<fingerprint> lose_in_flight(owned_server& row);
+    /** Clears the window of requests of a process that is gone. */
+    static void forget_process(owned_server& row);
     /** Drops late asks and gives up those without a reply in time. */
     void tick(owned_server& row, time_point now, outbox& out);
 
@@ -83,6 +85,8 @@
                 backend_reply reply, time_point now);
     void give_up(owned_server& row, in_flight_ask& sent, outbox& out);
     void finish_late(owned_server& row);
+    static void release_orphans(owned_server& row, time_point now);
+    bool may_send(const owned_server& row, time_point now) const;
     void finish(const owned_server* row,
                 const reply_merger::query_pointer& query, const shard_ask& ask,
                 shard_outcome outcome);
--- a/src/systems/reply_merger.cpp
+++ b/src/systems/reply_merger.cpp
@@ -1,8 +1,9 @@
 #include "systems/reply_merger.hpp"
 
+#include "systems/hit_merge.hpp"
+
 #include <algorithm>
 #include <iterator>
-#include <tuple>
 
 namespace cranberrywood {
 
@@ -14,11 +15,6 @@
 // Fingerprints kept for a reader that does not come.
 constexpr std::size_t max_completed = 4096;
 
-bool better(const hit& a, const hit& b)
-{
-    return std::tie(b.score, a.key, a.text) < std::tie(a.score, b.key, b.text);
-}
-
 bool same_range(const held_versions& a, const held_versions& b)
 {
     return a.oldest == b.oldest && a.newest == b.newest;
@@ -95,8 +91,8 @@
         reply.index = query->request.index;
         reply.results = std::exchange(query->results, {});
         reply.versions = std::exchange(query->versions, {});
-        reply.hits = std::exchange(query->hits, {});
-        keep_best(reply.hits, query->request.hit_limit);
+        merge_hits(reply.hits, std::exchange(query->hits, {}),
+                   query->request.hit_limit);
         query->queued_for_flush = false;
         out.to_peer(query->entry, std::move(reply));
     }
@@ -122,16 +118,6 @@
     }
 }
 
-void reply_merger::keep_best(std::vector<hit>& hits, std::size_t limit)
-{
-    if (hits.size() > limit) {
-        const auto cut = hits.begin() + static_cast<std::ptrdiff_t>(limit);
-        std::nth_element(hits.begin(), cut, hits.end(), better);
-        hits.erase(cut, hits.end());
-    }
-    std::sort(hits.begin(), hits.end(), better);
-}
-
 // One entry per query is enough: its parts share the fingerprint.
 void reply_merger::note_completed(owned_query& query)
 {
--- a/src/systems/reply_merger.hpp
+++ b/src/systems/reply_merger.hpp
@@ -77,7 +77,6 @@
 
     static query_key key_of(vm_id entry, const owner_request& request);
     void mark_for_flush(const query_pointer& query);
-    static void keep_best(std::vector<hit>& hits, std::size_t limit);
     void note_completed(owned_query& query);
 
     std::map<query_key, query_pointer> m_queries;
--- a/src/systems/server_window.hpp
+++ b/src/systems/server_window.hpp
@@ -52,7 +52,7 @@
     void shed();
     /** Takes note that a request left the server without being run. */
     void released();
-    /** Forgets all requests in flight: their link is gone. */
+    /** Forgets all requests in flight: their process is gone. */
     void forget_in_flight();
 
     /** Returns the shortest time in which the server answered of late. */
