settings: spread of revisions by watch, push and pull

Few VMs of a data centre watch the service. A new revision goes to random peers at once as a delta; heartbeats that name revisions mend what that leaves out. The revision in force only grows, a refused one leaves the last in force, and a starting VM asks peers as well as the service.

--- /dev/null
+++ b/src/systems/settings_spread.cpp
@@ -0,0 +1,334 @@
+#include "systems/settings_spread.hpp"
+
+#include "systems/reader_choice.hpp"
+#include "systems/revision_text.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Peers that get a new revision at once; each sends it on to as many.
+constexpr std::size_t spread_fanout = 6;
+// Larger deltas are only named at once; who lacks them pulls them once.
+constexpr std::size_t max_eager_bytes = 4096;
+// Peers that a starting VM asks, and how many of them it waits for.
+constexpr std::size_t start_asks = 6;
+constexpr std::size_t start_answers = 2;
+constexpr duration start_wait = milliseconds(2000);
+// Shortest time between two whole values that one VM sends.
+constexpr duration whole_push_pause = milliseconds(250);
+
+std::string revision_field(revision_number revision)
+{
+    return "revision=" + std::to_string(revision.value());
+}
+
+bool names_only(const revision_push& push)
+{
+    return push.base == push.revision;
+}
+
+} // namespace
+
+settings_spread::settings_spread(node_identity self, random_source& random)
+    : m_self(std::move(self)), m_random(random), m_watch(random)
+{
+}
+
+void settings_spread::receive(const configuration_read& answer, time_point now,
+                              outbox& out)
+{
+    const revision_number revision = answer.value.revision;
+    if (m_watch.is_down()) {
+        out.log(log_code::configuration_answered, revision_field(revision));
+    }
+    m_watch.answered(revision, now);
+    const bool stale = revision < m_pulls.newest();
+    if (stale && !m_service_stale) {
+        out.log(log_code::configuration_stale,
+                revision_field(revision) +
+                    " newest_seen=" + std::to_string(m_pulls.newest().value()));
+    }
+    m_service_stale = stale;
+    if (!stale && !is_settled(revision)) {
+        judge(answer.value, revision_text(answer.value), now, out);
+    }
+}
+
+void settings_spread::receive(const configuration_unavailable& event,
+                              time_point now, outbox& out)
+{
+    if (!m_watch.is_down()) {
+        out.log(log_code::configuration_unavailable, "why=" + event.why);
+    }
+    m_watch.unavailable(now);
+}
+
+void settings_spread::receive(const vm_list_read& list)
+{
+    m_listed = list.vms;
+    if (m_in_force != nullptr) {
+        m_readers = readers_of(*m_in_force, m_self.data_centre, m_listed);
+    }
+}
+
+void settings_spread::receive(vm_id from, const revision_pull& pull,
+                              time_point now, outbox& out)
+{
+    if (!m_history.current().is_set()) {
+        return;
+    }
+    const bool whole =
+        pull.have < m_history.current() && !m_history.reaches(pull.have);
+    if (whole) {
+        const bool too_soon =
+            m_last_whole_push && now - *m_last_whole_push < whole_push_pause;
+        if (too_soon) {
+            send_push(from, m_history.advert(), out);
+            return;
+        }
+        m_last_whole_push = now;
+    }
+    for (auto& push : m_history.pushes_from(pull.have)) {
+        send_push(from, std::move(push), out);
+    }
+}
+
+void settings_spread::receive(vm_id from, const revision_push& push,
+                              time_point now, outbox& out)
+{
+    heard(from, now);
+    if (is_settled(push.revision)) {
+        return;
+    }
+    m_pulls.named(from, push.revision);
+    if (names_only(push)) {
+        return;
+    }
+    auto text = m_history.text_of(push);
+    if (!text) {
+        const bool broken =
+            !push.base.is_set() || push.base == m_history.current();
+        if (broken) {
+            out.log(log_code::revision_push_broken,
+                    revision_field(push.revision) +
+                        " peer=" + std::to_string(from.value()));
+            m_pull_whole = true;
+        }
+        return;
+    }
+    auto value = read_revision_text(*text, push.revision);
+    if (value) {
+        judge(*value, std::move(*text), now, out);
+    }
+}
+
+void settings_spread::peer_revision(vm_id from, revision_number revision,
+                                    time_point now, outbox& out)
+{
+    heard(from, now);
+    if (revision < m_history.current()) {
+        send_push(from, m_history.advert(), out);
+    } else if (!is_settled(revision)) {
+        m_pulls.named(from, revision);
+        pull_if_due(now, out);
+    }
+}
+
+void settings_spread::tick(time_point now, outbox& out)
+{
+    if (reads_service(now)) {
+        m_watch.tick(now, out);
+    }
+    pull_if_due(now, out);
+    update_started(now);
+}
+
+std::optional<std::shared_ptr<const settings_index>>
+settings_spread::take_accepted()
+{
+    if (!std::exchange(m_new, false)) {
+        return std::nullopt;
+    }
+    return m_in_force;
+}
+
+spread_status settings_spread::status(time_point now) const
+{
+    spread_status s;
+    s.accepted = m_history.current();
+    s.newest_seen = std::max(m_pulls.newest(), m_refused);
+    s.refused = m_refused;
+    s.refused_errors = m_refused_errors.size();
+    if (!m_refused_errors.empty()) {
+        s.refused_error = m_refused_errors.front().text();
+    }
+    s.reads_service = reads_service(now);
+    const fleet_settings defaults;
+    const duration life =
+        m_in_force ? m_in_force->fleet().view_life : defaults.view_life;
+    s.service_answered = m_watch.answered_within(life, now);
+    s.started = m_started;
+    s.behind = m_pulls.is_behind();
+    s.site_removed = m_site_removed;
+    s.service_reads = m_watch.reads();
+    s.pulls_sent = m_pulls_sent;
+    s.pushes_sent = m_pushes_sent;
+    s.push_bytes_sent = m_push_bytes_sent;
+    return s;
+}
+
+void settings_spread::heard(vm_id peer, time_point now)
+{
+    m_heard_peer = now;
+    if (!m_started) {
+        m_answered_at_start.insert(peer);
+    }
+}
+
+void settings_spread::judge(const published_value& value, std::string text,
+                            time_point now, outbox& out)
+{
+    const settings_result result = read_settings(value);
+    m_watch.learned(value.revision);
+    m_pull_whole = false;
+    if (const auto* accepted = std::get_if<accepted_settings>(&result)) {
+        accept(*accepted, std::move(text), now, out);
+        return;
+    }
+    refuse(value.revision, std::get<std::vector<settings_error>>(result), out);
+}
+
+void settings_spread::refuse(revision_number revision,
+                             const std::vector<settings_error>& errors,
+                             outbox& out)
+{
+    m_refused = revision;
+    m_pulls.refused(revision);
+    m_refused_errors = errors;
+    out.log(log_code::revision_refused, revision_field(revision) + " errors=" +
+                                            std::to_string(errors.size()) +
+                                            " first=" + errors.front().text());
+}
+
+void settings_spread::accept(const accepted_settings& accepted,
+                             std::string text, time_point now, outbox& out)
+{
+    const bool first = !m_history.current().is_set();
+    m_pulls.accepted(accepted.revision);
+    m_history.adopt(accepted.revision, std::move(text));
+    out.log(log_code::revision_accepted, revision_field(accepted.revision));
+    auto own = accepted.of_site(m_self.site);
+    m_site_removed = own == nullptr;
+    if (m_site_removed) {
+        out.log(log_code::site_removed,
+                revision_field(accepted.revision) + " site=" + m_self.site);
+    } else {
+        m_in_force = std::move(own);
+        m_new = true;
+        m_readers = readers_of(*m_in_force, m_self.data_centre, m_listed);
+    }
+    if (first) {
+        ask_at_start(now, out);
+    } else {
+        spread(out);
+    }
+}
+
+void settings_spread::spread(outbox& out)
+{
+    auto push = m_history.newest_delta();
+    if (!push || push->body.size() > max_eager_bytes) {
+        push = m_history.advert();
+    }
+    for (const auto peer : random_peers(spread_fanout)) {
+        send_push(peer, *push, out);
+    }
+}
+
+// The service may be stale, so the first settings may be old ones.
+void settings_spread::ask_at_start(time_point now, outbox& out)
+{
+    const auto peers = random_peers(start_asks);
+    m_asked_at_start = peers.size();
+    m_start_wait_end = now + start_wait;
+    for (const auto peer : peers) {
+        out.to_peer(peer, revision_pull{m_history.current()});
+        ++m_pulls_sent;
+    }
+}
+
+void settings_spread::pull_if_due(time_point now, outbox& out)
+{
+    if (const auto peer = m_pulls.take_due(now)) {
+        const auto have =
+            m_pull_whole ? revision_number() : m_history.current();
+        out.to_peer(*peer, revision_pull{have});
+        ++m_pulls_sent;
+    }
+}
+
+void settings_spread::send_push(vm_id to, revision_push push, outbox& out)
+{
+    ++m_pushes_sent;
+    m_push_bytes_sent += push.body.size();
+    out.to_peer(to, std::move(push));
+}
+
+// A VM that has no settings, that the settings do not name, or that hears no
+// peer reads for itself.
+bool settings_spread::reads_service(time_point now) const
+{
+    if (m_in_force == nullptr || m_in_force->find(m_self.vm) == nullptr) {
+        return true;
+    }
+    const bool heard =
+        m_heard_peer && now - *m_heard_peer <= m_in_force->fleet().view_life;
+    const bool chosen = std::find(m_readers.begin(), m_readers.end(),
+                                  m_self.vm) != m_readers.end();
+    return chosen || !heard;
+}
+
+// A refused revision does not hide an older one that others accepted.
+bool settings_spread::is_settled(revision_number revision) const
+{
+    return revision <= m_history.current() || revision == m_refused;
+}
+
+void settings_spread::update_started(time_point now)
+{
+    if (m_started || m_in_force == nullptr || m_pulls.is_behind()) {
+        return;
+    }
+    const std::size_t needed = std::min(start_answers, m_asked_at_start);
+    m_started = m_answered_at_start.size() >= needed ||
+                (m_start_wait_end && now >= *m_start_wait_end);
+    if (m_started) {
+        m_answered_at_start.clear();
+    }
+}
+
+std::vector<vm_id> settings_spread::random_peers(std::size_t count)
+{
+    std::vector<vm_id> peers;
+    if (m_in_force == nullptr) {
+        return peers;
+    }
+    for (const auto& vm : m_in_force->all().vms) {
+        if (vm.id != m_self.vm) {
+            peers.push_back(vm.id);
+        }
+    }
+    const std::size_t chosen = std::min(count, peers.size());
+    for (std::size_t i = 0; i < chosen; ++i) {
+        std::swap(peers[i], peers[i + m_random.below(peers.size() - i)]);
+    }
+    peers.resize(chosen);
+    return peers;
+}
+
+} // namespace cranberrywood
