core: the node joins the systems; queries and lookups run through a fake fleet

Entry side of queries (fan-out, hedges, retries, one restart on a newer index version, coverage at the deadline), admission, role duties, and an in-memory fleet with a trace checker.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -1,58 +1,31 @@
 #include "core/node.hpp"
 
-#include "core/outbox.hpp"
+#include "core/node_parts.hpp"
 
 namespace cranberrywood {
 
-class node::parts
-{
-public:
-    parts(node_identity identity, random_source& random)
-        : m_identity(std::move(identity)), m_random(random)
-    {
-    }
-
-    void apply(const caller_request& request)
-    {
-        const error_detail error{
-            step::admission, reason::not_ready, {}, {}, {}};
-        m_out.issue(answer_caller{request.token,
-                                  to_response(sent_nothing().refuse(error))});
-    }
-    template <class Event>
-    void apply(const Event&)
-    {
-    }
-
-    node_identity m_identity;
-    random_source& m_random;
-    outbox m_out;
-};
-
 node::node(node_identity identity, random_source& random)
-    : m_parts(std::make_unique<parts>(std::move(identity), random))
+    : m_parts(std::make_unique<node_parts>(std::move(identity), random))
 {
 }
 
 node::~node() = default;
 
-commands node::handle(const event& e, time_point)
+commands node::handle(const event& e, time_point now)
 {
-    std::visit([this](const auto& event) { m_parts->apply(event); }, e);
-    return m_parts->m_out.take_commands();
+    m_parts->apply(e, now);
+    return m_parts->finish(now);
 }
 
-commands node::tick(time_point)
+commands node::tick(time_point now)
 {
-    return m_parts->m_out.take_commands();
+    m_parts->tick(now);
+    return m_parts->finish(now);
 }
 
-node_status node::status(time_point) const
+node_status node::status(time_point now) const
 {
-    node_status status;
-    status.vm = m_parts->m_identity.vm;
-    status.process = m_parts->m_identity.process;
-    return status;
+    return m_parts->status(now);
 }
 
 } // namespace cranberrywood
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -11,6 +11,8 @@
 
 namespace cranberrywood {
 
+class node_parts;
+
 /**
  * One VM's decisions. Takes typed events and returns typed commands; does no
  * I/O, reads no clock and starts no thread. Equal events, times and seeds
@@ -35,8 +37,7 @@
     node_status status(time_point now) const;
 
 private:
-    class parts;
-    std::unique_ptr<parts> m_parts;
+    std::unique_ptr<node_parts> m_parts;
 };
 
 } // namespace cranberrywood
--- /dev/null
+++ b/src/core/node_parts.hpp
@@ -0,0 +1,121 @@
+#ifndef CRANBERRYWOOD_CORE_NODE_PARTS_HPP
+#define CRANBERRYWOOD_CORE_NODE_PARTS_HPP
+
+#include "core/caller_ledger.hpp"
+#include "core/events.hpp"
+#include "core/node.hpp"
+#include "systems/admission.hpp"
+#include "systems/current_rights.hpp"
+#include "systems/heartbeats.hpp"
+#include "systems/lookup_client.hpp"
+#include "systems/lookup_router.hpp"
+#include "systems/open_repeat_gate.hpp"
+#include "systems/peer_sessions.hpp"
+#include "systems/query_coordinator.hpp"
+#include "systems/role_duties.hpp"
+#include "systems/service_levels.hpp"
+#include "systems/settings_intake.hpp"
+
+namespace cranberrywood {
+
+/**
+ * The systems of one node and the paths between them: which event and which
+ * peer message goes to which system, and the order in which they run.
+ */
+class node_parts
+{
+public:
+    node_parts(node_identity identity, random_source& random);
+
+    /** Applies one event to the systems that it concerns. */
+    void apply(const event& e, time_point now);
+
+    /** Runs the systems that wait for time to pass. */
+    void tick(time_point now);
+
+    /** Runs the systems until nothing is left to do, takes the commands. */
+    commands finish(time_point now);
+
+    /** Returns the state for operators. */
+    node_status status(time_point now) const;
+
+private:
+    void on(const caller_request& e, time_point now);
+    void on(const caller_gone& e, time_point now);
+    void on(const peer_received& e, time_point now);
+    void on(const backend_connected& e, time_point now);
+    void on(const backend_replied& e, time_point now);
+    void on(const backend_lost& e, time_point now);
+    void on(const configuration_read& e, time_point now);
+    void on(const configuration_unavailable& e, time_point now);
+    void on(const vm_list_read& e, time_point now);
+    void on(const leave_requested& e, time_point now);
+
+    void take(vm_id from, const peer_message& message, time_point now);
+    void route(vm_id from, const heartbeat& m, time_point now);
+    void route(vm_id from, const revision_pull& m, time_point now);
+    void route(vm_id from, const revision_push& m, time_point now);
+    void route(vm_id from, const loan_ask& m, time_point now);
+    void route(vm_id from, const loan_grant& m, time_point now);
+    void route(vm_id from, const owner_request& m, time_point now);
+    void route(vm_id from, const owner_reply& m, time_point now);
+    void route(vm_id from, const owner_cancel& m, time_point now);
+    void route(vm_id from, const lookup_ask& m, time_point now);
+    void route(vm_id from, const lookup_reply& m, time_point now);
+    void route(vm_id from, const record_handover& m, time_point now);
+    void route(vm_id from, const quarantine_notice& m, time_point now);
+    template <class LeaseMessage>
+    void route(vm_id from, const LeaseMessage& m, time_point now);
+
+    std::optional<error_detail> closed_to(const caller_request& request,
+                                          time_point now) const;
+    void take_settings(time_point now);
+    void take_restarts(time_point now);
+    void take_server_deaths(time_point now);
+    void start_admitted(time_point now);
+    void run_once(time_point now);
+    bool deliver_messages(time_point now);
+    void send(vm_id to, peer_message message, time_point now);
+    void settle(command c, time_point now);
+    void watch_view(time_point now);
+    void leave_if_done(time_point now);
+    bool can_serve(time_point now) const;
+    std::size_t in_flight() const;
+
+    node_identity m_self;
+    outbox m_out;
+    commands m_commands;
+    std::shared_ptr<const settings_index> m_settings;
+
+    peer_sessions m_sessions;
+    heartbeats m_heartbeats;
+    role_leases m_leases;
+    settings_intake m_spread;
+    current_rights m_rights;
+    latency_estimate m_latencies;
+    extra_budget m_budget;
+    replica_choice m_replicas;
+    version_pins m_pins;
+    open_repeat_gate m_quarantine;
+    rate_home m_homes;
+    rate_borrower m_rates;
+    lookup_router m_lookup_router;
+    id_records m_records;
+    lookup_client m_lookups;
+    owner_dispatch m_dispatch;
+    query_coordinator m_queries;
+    admission m_admission;
+    role_duties m_duties;
+    service_levels m_levels;
+    caller_ledger m_callers;
+
+    bool m_view_confirmed = false;
+    std::optional<time_point> m_leaving_since;
+    bool m_leases_left = false;
+    bool m_stopped = false;
+    std::map<std::string, std::uint64_t> m_counters;
+};
+
+} // namespace cranberrywood
+
+#endif
--- /dev/null
+++ b/src/systems/admission.cpp
@@ -0,0 +1,127 @@
+#include "systems/admission.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Requests that may wait for a slot of this VM. */
+constexpr std::size_t queue_limit = 4096;
+/** Longest wait for rate tokens. */
+constexpr duration max_token_wait = 100ms;
+/** Share of the deadline that a request may wait for rate tokens. */
+constexpr int token_wait_divisor = 2;
+/** Time below which a started request cannot be answered any more. */
+constexpr duration least_work = 2ms;
+
+} // namespace
+
+admission::admission(const rights_check& rights, rate_borrower& rates)
+    : m_rights(rights), m_rates(rates), m_queue(queue_limit)
+{
+}
+
+void admission::settings_changed(std::shared_ptr<const settings_index> settings)
+{
+    m_settings = std::move(settings);
+}
+
+void admission::refuse(caller_token token, error_detail error, outbox& out)
+{
+    const sent_nothing proof;
+    out.issue(
+        answer_caller{token, to_response(proof.refuse(std::move(error)))});
+}
+
+void admission::count_and_refuse(caller_token token, error_detail error,
+                                 outbox& out)
+{
+    ++m_refusals[error.why];
+    refuse(token, std::move(error), out);
+}
+
+void admission::accept(admitted_request request, time_point now, outbox& out)
+{
+    const workspace_id workspace = request.rights.workspace;
+    if (!workspace.is_set()) {
+        enqueue(std::move(request), out);
+        return;
+    }
+    const caller_token token = request.token;
+    const duration wait =
+        std::min(max_token_wait, (request.deadline - now) / token_wait_divisor);
+    m_waiting_for_tokens.emplace(token, std::move(request));
+    m_rates.request(token, workspace, wait, now, out);
+}
+
+bool admission::caller_gone(caller_token token)
+{
+    if (m_waiting_for_tokens.erase(token) != 0) {
+        m_rates.cancel(token);
+        return true;
+    }
+    const auto taken = m_queue.take_if(
+        [token](const admitted_request& r) { return r.token == token; });
+    return !taken.empty();
+}
+
+void admission::tick(time_point now, outbox& out)
+{
+    for (const rate_decision& decision : m_rates.take_decisions()) {
+        auto waiting = m_waiting_for_tokens.extract(decision.ticket);
+        if (waiting.empty()) {
+            continue;
+        }
+        if (decision.granted) {
+            enqueue(std::move(waiting.mapped()), out);
+            continue;
+        }
+        count_and_refuse(
+            decision.ticket,
+            {step::rate, reason::over_rate, decision.refused_at, {}, {}}, out);
+    }
+    m_queue.drop_late(now, least_work);
+    for (const admitted_request& late : m_queue.take_late()) {
+        count_and_refuse(late.token,
+                         {step::queue, reason::deadline_passed, {}, {}, {}},
+                         out);
+    }
+}
+
+void admission::enqueue(admitted_request request, outbox& out)
+{
+    const auto* workspace = m_settings->find(request.rights.workspace);
+    queue_terms terms;
+    terms.workspace = request.rights.workspace;
+    terms.weight = workspace != nullptr ? workspace->weight : 1;
+    terms.cost = 1;
+    if (!request.lookup) {
+        const auto shards = m_settings->shards_of(request.service).size();
+        terms.cost =
+            static_cast<std::uint32_t>(std::max<std::size_t>(1, shards));
+    }
+    terms.deadline = request.deadline;
+    const auto pushed_out = m_queue.push(terms, std::move(request));
+    if (pushed_out) {
+        count_and_refuse(pushed_out->token,
+                         {step::queue, reason::overloaded, {}, {}, {}}, out);
+    }
+}
+
+std::optional<admitted_request> admission::next(time_point now, outbox& out)
+{
+    while (auto request = m_queue.pop(now, least_work)) {
+        const auto refused =
+            m_rights.refuses(request->rights, request->service);
+        if (!refused) {
+            return request;
+        }
+        count_and_refuse(request->token, *refused, out);
+    }
+    return std::nullopt;
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/systems/current_rights.hpp
@@ -0,0 +1,39 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_CURRENT_RIGHTS_HPP
+#define CRANBERRYWOOD_SYSTEMS_CURRENT_RIGHTS_HPP
+
+#include "systems/owner_dispatch.hpp"
+#include "systems/rights_check.hpp"
+
+namespace cranberrywood {
+
+/**
+ * Rights under the settings revision in force: keys, the services of a
+ * workspace and the legal rules. Serves the entry side and, as send_gate, the
+ * owner side.
+ */
+class current_rights : public rights_check, public send_gate
+{
+public:
+    /** Puts a settings revision in force. */
+    void settings_changed(std::shared_ptr<const settings_index> settings);
+
+    std::optional<error_detail> refuses(const request_rights& rights,
+                                        service_id service) const override;
+    bool leaves_out(workspace_id workspace, service_id service,
+                    shard_id shard) const override;
+    bool may_run(workspace_id workspace, service_id service, shard_id shard,
+                 backend_server_id server) const override;
+    std::optional<shard_outcome> forbids(const owner_request& request,
+                                         const shard_ask& ask,
+                                         time_point now) const override;
+
+private:
+    std::optional<error_detail> key_refused(const request_rights& rights,
+                                            service_id service) const;
+
+    std::shared_ptr<const settings_index> m_settings;
+};
+
+} // namespace cranberrywood
+
+#endif
--- a/src/systems/lookup_client.cpp
+++ b/src/systems/lookup_client.cpp
@@ -22,18 +22,18 @@
 
 // An earlier request under the same id may have run, so that the proof of
 // having sent nothing does not hold until the id owner has given it.
-void lookup_client::start(const caller_request& request, workspace_id workspace,
-                          revision_number revision, time_point now, outbox& out)
+void lookup_client::start(const admitted_request& request, time_point now,
+                          outbox& out)
 {
     pending& p = m_pending[request.token];
-    p.ask.request = request_id_of(workspace, request.caller_request_id);
-    p.ask.workspace = workspace;
-    p.ask.service = id_of<service_id>(request.service);
-    p.ask.revision = revision;
+    p.ask.request = *request.lookup;
+    p.ask.workspace = request.rights.workspace;
+    p.ask.service = request.service;
+    p.ask.revision = request.revision;
     p.ask.lookup_key = request.lookup_key;
     p.ask.hit_limit = request.hit_limit;
     p.ask.body = request.body;
-    p.deadline = now + request.deadline;
+    p.deadline = request.deadline;
     p.proof.send();
     p.last_error.at = step::id_owner;
     p.last_error.why = reason::no_owner;
--- a/src/systems/lookup_client.hpp
+++ b/src/systems/lookup_client.hpp
@@ -1,7 +1,7 @@
 #ifndef CRANBERRYWOOD_SYSTEMS_LOOKUP_CLIENT_HPP
 #define CRANBERRYWOOD_SYSTEMS_LOOKUP_CLIENT_HPP
 
-#include "core/events.hpp"
+#include "core/admitted_request.hpp"
 #include "core/node_identity.hpp"
 #include "core/outbox.hpp"
 #include "core/role_view.hpp"
@@ -26,9 +26,8 @@
 public:
     lookup_client(node_identity self, role_view& roles);
 
-    /** Starts a request that was admitted for a workspace. */
-    void start(const caller_request& request, workspace_id workspace,
-               revision_number revision, time_point now, outbox& out);
+    /** Starts an admitted request. */
+    void start(const admitted_request& request, time_point now, outbox& out);
 
     /** Returns whether a reply to the query is for this class. */
     bool owns(query_id query) const;
--- /dev/null
+++ b/src/systems/lookup_router.hpp
@@ -0,0 +1,42 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_LOOKUP_ROUTER_HPP
+#define CRANBERRYWOOD_SYSTEMS_LOOKUP_ROUTER_HPP
+
+#include "core/random_source.hpp"
+#include "core/role_view.hpp"
+#include "systems/replica_choice.hpp"
+#include "systems/replica_picker.hpp"
+#include "systems/rights_check.hpp"
+#include "systems/version_pins.hpp"
+
+namespace cranberrywood {
+
+/** Chooses the backend server of a non-repeatable request. */
+class lookup_router : public replica_picker
+{
+public:
+    /** All parts outlive this object. */
+    lookup_router(const role_view& roles, const rights_check& rights,
+                  const replica_choice& replicas, version_pins& pins,
+                  random_source& random);
+
+    /** Puts a settings revision in force. */
+    void settings_changed(std::shared_ptr<const settings_index> settings);
+
+    std::optional<lookup_target>
+    pick(const lookup_ask& ask, const std::vector<backend_server_id>& excluded,
+         time_point now) override;
+
+private:
+    const shard_settings* shard_of(const lookup_ask& ask) const;
+
+    const role_view& m_roles;
+    const rights_check& m_rights;
+    const replica_choice& m_replicas;
+    version_pins& m_pins;
+    random_source& m_random;
+    std::shared_ptr<const settings_index> m_settings;
+};
+
+} // namespace cranberrywood
+
+#endif
--- /dev/null
+++ b/src/systems/role_duties.hpp
@@ -0,0 +1,56 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_ROLE_DUTIES_HPP
+#define CRANBERRYWOOD_SYSTEMS_ROLE_DUTIES_HPP
+
+#include "systems/id_records.hpp"
+#include "systems/owner_dispatch.hpp"
+#include "systems/rate_home.hpp"
+#include "systems/role_leases.hpp"
+
+#include <set>
+
+namespace cranberrywood {
+
+/**
+ * Starts and stops the work that comes with role groups: owning backend
+ * servers, being the home of workspaces, keeping records of request ids.
+ * Drains and hands over a group before its lease is released.
+ */
+class role_duties
+{
+public:
+    /** All parts outlive this object. */
+    role_duties(role_leases& leases, owner_dispatch& dispatch, rate_home& homes,
+                id_records& records);
+
+    /** Takes up what a settings revision adds to the groups held. */
+    void settings_changed(time_point now, outbox& out);
+
+    /** Applies changes of the leases, and releases what is drained. */
+    void run(time_point now, outbox& out);
+
+    /** Returns the number of groups held or being drained. */
+    std::size_t held() const
+    {
+        return m_held.size() + m_draining.size();
+    }
+
+private:
+    void start(role_group_id group, time_point now, outbox& out);
+    void stop(role_group_id group, time_point now, outbox& out);
+    void drain(role_group_id group);
+    bool is_drained(role_group_id group, time_point now) const;
+    void hand_over(role_group_id group, time_point now, outbox& out);
+
+    role_leases& m_leases;
+    owner_dispatch& m_dispatch;
+    rate_home& m_homes;
+    id_records& m_records;
+    std::set<role_group_id> m_held;
+    std::set<role_group_id> m_draining;
+    std::set<backend_server_id> m_owned;
+    std::set<workspace_id> m_home_of;
+};
+
+} // namespace cranberrywood
+
+#endif
--- a/src/systems/role_leases.cpp
+++ b/src/systems/role_leases.cpp
@@ -176,6 +176,11 @@
     m_candidate.leave(now, out);
 }
 
+vm_id role_leases::successor(role_group_id group, time_point now) const
+{
+    return m_preference.first_usable(group, m_self.vm, now);
+}
+
 bool role_leases::holds(role_group_id group, time_point now) const
 {
     return m_candidate.holds(group, now);
--- a/src/systems/role_leases.hpp
+++ b/src/systems/role_leases.hpp
@@ -61,6 +61,9 @@
     /** Stops acquiring and wants all held groups to be released. */
     void leave(time_point now, outbox& out);
 
+    /** Returns the VM that ought to hold a group after this one, or unset. */
+    vm_id successor(role_group_id group, time_point now) const;
+
     bool holds(role_group_id group, time_point now) const override;
     time_point held_until(role_group_id group) const override;
     vm_id believed_holder(role_group_id group) const override;
--- /dev/null
+++ b/src/systems/shard_router.hpp
@@ -0,0 +1,55 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_SHARD_ROUTER_HPP
+#define CRANBERRYWOOD_SYSTEMS_SHARD_ROUTER_HPP
+
+#include "core/random_source.hpp"
+#include "core/role_view.hpp"
+#include "systems/replica_choice.hpp"
+#include "systems/rights_check.hpp"
+#include "systems/version_pins.hpp"
+#include "tables/query_table.hpp"
+
+namespace cranberrywood {
+
+/** Finds the replica that a shard's part goes to, and the replica's owner. */
+class shard_router
+{
+public:
+    /** A replica and the VM that most likely owns it. */
+    struct route
+    {
+        backend_server_id backend_server;
+        vm_id owner;
+    };
+
+    /** All parts outlive this object. */
+    shard_router(role_view& roles, const rights_check& rights,
+                 replica_choice& replicas, const version_pins& pins,
+                 random_source& random);
+
+    /** Puts a settings revision in force. */
+    void settings_changed(std::shared_ptr<const settings_index> settings);
+
+    /** Returns the replicas that a shard's part may go to now. */
+    std::vector<backend_server_id> usable(const query_row& query,
+                                          const query_shard_row& shard) const;
+
+    /** Chooses a replica; none when no usable one has a known owner. */
+    std::optional<route> find(const query_row& query,
+                              const query_shard_row& shard, bool allow_cold,
+                              time_point now);
+
+    /** Takes note of the owner that a not_owner result names. */
+    void learn_owner(const shard_result& result);
+
+private:
+    role_view& m_roles;
+    const rights_check& m_rights;
+    replica_choice& m_replicas;
+    const version_pins& m_pins;
+    random_source& m_random;
+    std::shared_ptr<const settings_index> m_settings;
+};
+
+} // namespace cranberrywood
+
+#endif
--- a/src/tests/lookup_client_test.cpp
+++ b/src/tests/lookup_client_test.cpp
@@ -27,14 +27,14 @@
 
     void start()
     {
-        caller_request request;
+        admitted_request request;
         request.token = caller_token(1);
-        request.service = "search";
-        request.key = "secret";
-        request.caller_request_id = "lot-7";
-        request.deadline = milliseconds(600);
-        client.start(request, id_of<workspace_id>("w0"), revision_number(1), t0,
-                     out);
+        request.rights.workspace = id_of<workspace_id>("w0");
+        request.service = id_of<service_id>("search");
+        request.revision = revision_number(1);
+        request.lookup = request_id_of(request.rights.workspace, "lot-7");
+        request.deadline = t0 + milliseconds(600);
+        client.start(request, t0, out);
     }
 
     std::vector<lookup_ask> asks()
