--- a/src/core/caller_ledger.hpp
+++ b/src/core/caller_ledger.hpp
@@ -15,6 +15,8 @@
     workspace_id workspace;
     service_id service;
     time_point arrived;
+    /** The request passed all checks, and the workspace is known. */
+    bool identified = false;
 };
 
 /** The callers that wait, so that each is answered exactly once. */
@@ -27,6 +29,14 @@
         m_waiting.emplace(token, caller);
     }
 
+    /** Sets the workspace of a caller whose request passed the checks. */
+    void identify(caller_token token, workspace_id workspace)
+    {
+        waiting_caller& caller = m_waiting.at(token);
+        caller.workspace = workspace;
+        caller.identified = true;
+    }
+
     /** Removes a caller; none when it does not wait any more. */
     std::optional<waiting_caller> remove(caller_token token)
     {
--- a/src/core/messages.cpp
+++ b/src/core/messages.cpp
@@ -12,6 +12,7 @@
     case shard_outcome::out_of_service:
     case shard_outcome::rule_refused:
     case shard_outcome::cancelled:
+    case shard_outcome::quarantined:
         return true;
     case shard_outcome::done:
     case shard_outcome::failed:
@@ -36,6 +37,8 @@
         return reason::link_lost;
     case shard_outcome::cancelled:
         return reason::caller_gone;
+    case shard_outcome::quarantined:
+        return reason::quarantined;
     case shard_outcome::done:
     case shard_outcome::shed:
     case shard_outcome::version_gone:
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -187,6 +187,8 @@
     rule_refused,
     /** Proved not started: cancelled before it was sent. */
     cancelled,
+    /** Proved not started: servers died under the same request. */
+    quarantined,
     /** Run and failed at the server. */
     failed,
     /** Sent, and the link was lost before a reply. */
--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -23,7 +23,8 @@
 
 node_parts::node_parts(node_identity identity, random_source& random)
     : m_self(std::move(identity)), m_sessions(m_self), m_heartbeats(m_self),
-      m_leases(m_self, random, m_heartbeats), m_spread(m_self),
+      m_leases(m_self, random, m_heartbeats), m_spread(m_self, random),
+      m_quarantine(m_self.vm, m_leases), m_rights(m_quarantine),
       m_replicas(m_self.data_centre), m_homes(m_leases), m_rates(m_leases),
       m_lookup_router(m_leases, m_rights, m_replicas, m_pins, random),
       m_records(m_self, m_leases, m_lookup_router), m_lookups(m_self, m_leases),
@@ -45,6 +46,7 @@
 
 void node_parts::on(const caller_request& e, time_point now)
 {
+    m_callers.add(e.token, {{}, id_of<service_id>(e.service), now});
     if (const auto closed = closed_to(e, now)) {
         m_admission.count_and_refuse(e.token, *closed, m_out);
         return;
@@ -55,7 +57,13 @@
         return;
     }
     auto& request = std::get<admitted_request>(checked);
-    m_callers.add(e.token, {request.rights.workspace, request.service, now});
+    m_callers.identify(e.token, request.rights.workspace);
+    if (m_quarantine.check(request.print, now) == quarantine_verdict::refused) {
+        m_admission.count_and_refuse(
+            e.token, {step::quarantine, reason::quarantined, {}, {}, {}},
+            m_out);
+        return;
+    }
     m_admission.accept(std::move(request), now, m_out);
 }
 
@@ -131,9 +139,13 @@
     m_dispatch.lost(e, now, m_out);
 }
 
+// An answer older than the settings in force says nothing about them.
 void node_parts::on(const configuration_read& e, time_point now)
 {
     m_spread.receive(e, now, m_out);
+    if (e.value.revision >= m_spread.status(now).accepted) {
+        m_heartbeats.platform_answered(now);
+    }
 }
 
 void node_parts::on(const configuration_unavailable& e, time_point now)
@@ -143,6 +155,7 @@
 
 void node_parts::on(const vm_list_read& e, time_point)
 {
+    m_spread.receive(e);
     m_heartbeats.vm_list_changed(e);
 }
 
@@ -173,11 +186,18 @@
 void node_parts::route(vm_id from, const heartbeat& m, time_point now)
 {
     m_heartbeats.receive(from, m, now, m_out);
+    m_spread.peer_revision(from, m.revision, now, m_out);
 }
 
-void node_parts::route(vm_id, const revision_pull&, time_point) {}
+void node_parts::route(vm_id from, const revision_pull& m, time_point now)
+{
+    m_spread.receive(from, m, now, m_out);
+}
 
-void node_parts::route(vm_id, const revision_push&, time_point) {}
+void node_parts::route(vm_id from, const revision_push& m, time_point now)
+{
+    m_spread.receive(from, m, now, m_out);
+}
 
 void node_parts::route(vm_id from, const loan_ask& m, time_point now)
 {
@@ -223,7 +243,10 @@
     m_records.start_from(m, now);
 }
 
-void node_parts::route(vm_id, const quarantine_notice&, time_point) {}
+void node_parts::route(vm_id from, const quarantine_notice& m, time_point now)
+{
+    m_quarantine.receive(from, m, now, m_out);
+}
 
 template <class LeaseMessage>
 void node_parts::route(vm_id from, const LeaseMessage& m, time_point now)
@@ -245,6 +268,7 @@
     m_lookups.tick(now, m_out);
     m_dispatch.tick(now, m_out);
     m_queries.tick(now, m_out);
+    m_quarantine.tick(now, m_out);
     watch_view(now);
     leave_if_done(now);
 }
@@ -275,9 +299,6 @@
 
 void node_parts::take_settings(time_point now)
 {
-    if (m_spread.take_answered()) {
-        m_heartbeats.platform_answered(now);
-    }
     auto accepted = m_spread.take_accepted();
     if (!accepted) {
         return;
@@ -291,6 +312,7 @@
     m_rates.settings_changed(m_settings);
     m_lookup_router.settings_changed(m_settings);
     m_records.settings_changed(m_settings);
+    m_quarantine.settings_changed(m_settings);
     m_dispatch.settings_changed(m_settings, now, m_out);
     m_queries.settings_changed(m_settings);
     m_admission.settings_changed(m_settings);
@@ -318,10 +340,15 @@
     }
 }
 
-void node_parts::take_server_deaths(time_point)
+void node_parts::take_server_deaths(time_point now)
 {
-    m_dispatch.take_deaths();
-    m_dispatch.take_completed();
+    for (const server_death& death : m_dispatch.take_deaths()) {
+        m_quarantine.server_died(death.backend_server, death.in_flight, now,
+                                 m_out);
+    }
+    for (const completed_part& part : m_dispatch.take_completed()) {
+        m_quarantine.completed(part.print, part.shard);
+    }
 }
 
 // Messages to this VM itself skip the network and the sessions.
@@ -360,8 +387,16 @@
         m_commands.push_back(std::move(c));
         return;
     }
+    const auto caller = m_callers.remove(answer->token);
+    if (!caller) {
+        ++m_counters["invariants_broken"];
+        m_out.log(log_code::invariant_broken,
+                  "second answer to caller=" +
+                      std::to_string(answer->token.value()));
+        return;
+    }
     ++m_counters[answer_counter(answer->answer)];
-    if (const auto caller = m_callers.remove(answer->token)) {
+    if (caller->identified) {
         m_levels.ended(caller->workspace, caller->service, answer->answer,
                        now - caller->arrived, now);
     }
@@ -434,7 +469,7 @@
     s.process = m_self.process;
     s.leaving = m_leaving_since.has_value();
     s.counters = m_counters;
-    s.refused_revision = m_spread.refusal();
+    s.refused_revision = m_spread.status(now).refused_error;
     if (m_settings == nullptr) {
         return s;
     }
--- a/src/core/node_parts.hpp
+++ b/src/core/node_parts.hpp
@@ -9,12 +9,11 @@
 #include "systems/heartbeats.hpp"
 #include "systems/lookup_client.hpp"
 #include "systems/lookup_router.hpp"
-#include "systems/open_repeat_gate.hpp"
 #include "systems/peer_sessions.hpp"
 #include "systems/query_coordinator.hpp"
 #include "systems/role_duties.hpp"
 #include "systems/service_levels.hpp"
-#include "systems/settings_intake.hpp"
+#include "systems/settings_spread.hpp"
 
 namespace cranberrywood {
 
@@ -90,13 +89,13 @@
     peer_sessions m_sessions;
     heartbeats m_heartbeats;
     role_leases m_leases;
-    settings_intake m_spread;
+    settings_spread m_spread;
+    quarantine m_quarantine;
     current_rights m_rights;
     latency_estimate m_latencies;
     extra_budget m_budget;
     replica_choice m_replicas;
     version_pins m_pins;
-    open_repeat_gate m_quarantine;
     rate_home m_homes;
     rate_borrower m_rates;
     lookup_router m_lookup_router;
--- a/src/systems/current_rights.cpp
+++ b/src/systems/current_rights.cpp
@@ -1,11 +1,17 @@
 #include "systems/current_rights.hpp"
 
 #include "systems/key_check.hpp"
+#include "systems/legal_rules.hpp"
 
 #include <algorithm>
 
 namespace cranberrywood {
 
+current_rights::current_rights(const quarantine& requests)
+    : m_quarantine(requests)
+{
+}
+
 void current_rights::settings_changed(
     std::shared_ptr<const settings_index> settings)
 {
@@ -22,6 +28,11 @@
     if (auto error = key_refused(rights, service)) {
         return error;
     }
+    const auto verdict = check_rules(*m_settings, rights.workspace, service);
+    if (const auto* refusal = std::get_if<rule_refusal>(&verdict)) {
+        return error_detail{
+            step::rights, reason::rule_refused, {}, {}, refusal->rule};
+    }
     return std::nullopt;
 }
 
@@ -52,26 +63,41 @@
     return std::nullopt;
 }
 
-bool current_rights::leaves_out(workspace_id, service_id, shard_id) const
+bool current_rights::leaves_out(workspace_id workspace, service_id service,
+                                shard_id shard) const
 {
-    return false;
+    const auto verdict = check_rules(*m_settings, workspace, service);
+    const auto* allowed = std::get_if<rule_allowance>(&verdict);
+    return allowed != nullptr && allowed->leaves_out(shard);
 }
 
-bool current_rights::may_run(workspace_id, service_id, shard_id,
-                             backend_server_id) const
+bool current_rights::may_run(workspace_id workspace, service_id service,
+                             shard_id shard, backend_server_id server) const
 {
-    return true;
+    return cranberrywood::may_run(*m_settings, workspace, service, shard,
+                                  server);
 }
 
 std::optional<shard_outcome>
 current_rights::forbids(const owner_request& request, const shard_ask& ask,
-                        time_point) const
+                        time_point now) const
 {
-    if (may_run(request.workspace, request.service, ask.shard,
-                ask.backend_server)) {
-        return std::nullopt;
+    if (m_quarantine.check(request.print, now) == quarantine_verdict::refused) {
+        return shard_outcome::quarantined;
     }
-    return shard_outcome::rule_refused;
+    if (!may_run(request.workspace, request.service, ask.shard,
+                 ask.backend_server)) {
+        return shard_outcome::rule_refused;
+    }
+    return std::nullopt;
+}
+
+bool current_rights::may_share(fingerprint print,
+                               const std::vector<fingerprint>& others,
+                               time_point now) const
+{
+    return m_quarantine.size() == 0 ||
+           m_quarantine.may_share(print, others, now);
 }
 
 } // namespace cranberrywood
--- a/src/systems/current_rights.hpp
+++ b/src/systems/current_rights.hpp
@@ -2,18 +2,22 @@
 #define CRANBERRYWOOD_SYSTEMS_CURRENT_RIGHTS_HPP
 
 #include "systems/owner_dispatch.hpp"
+#include "systems/quarantine.hpp"
 #include "systems/rights_check.hpp"
 
 namespace cranberrywood {
 
 /**
  * Rights under the settings revision in force: keys, the services of a
- * workspace and the legal rules. Serves the entry side and, as send_gate, the
- * owner side.
+ * workspace, the legal rules, and the quarantine of requests. Serves the entry
+ * side and, as send_gate, the owner side.
  */
 class current_rights : public rights_check, public send_gate
 {
 public:
+    /** The quarantine outlives this object. */
+    explicit current_rights(const quarantine& requests);
+
     /** Puts a settings revision in force. */
     void settings_changed(std::shared_ptr<const settings_index> settings);
 
@@ -26,11 +30,14 @@
     std::optional<shard_outcome> forbids(const owner_request& request,
                                          const shard_ask& ask,
                                          time_point now) const override;
+    bool may_share(fingerprint print, const std::vector<fingerprint>& others,
+                   time_point now) const override;
 
 private:
     std::optional<error_detail> key_refused(const request_rights& rights,
                                             service_id service) const;
 
+    const quarantine& m_quarantine;
     std::shared_ptr<const settings_index> m_settings;
 };
 
--- a/src/systems/owned_server.hpp
+++ b/src/systems/owned_server.hpp
@@ -3,6 +3,7 @@
 
 #include "systems/fair_queue.hpp"
 #include "systems/reply_merger.hpp"
+#include "systems/request_at_death.hpp"
 #include "systems/server_window.hpp"
 
 namespace cranberrywood {
@@ -28,7 +29,7 @@
     shard_ask ask;
     /** Null once the entry VM has been told a result. */
     reply_merger::query_pointer query;
-    fingerprint print;
+    request_at_death request;
     time_point sent_at;
     time_point deadline;
     /** Time at which the server stops to work on it. */
@@ -74,8 +75,8 @@
     std::uint32_t failed_opens = 0;
     time_point reopen_at;
     time_point last_work;
-    /** Fingerprints that were in flight when the link was lost. */
-    std::vector<fingerprint> lost_prints;
+    /** Requests that were in flight when the link was lost. */
+    std::vector<request_at_death> lost_requests;
 
     /** Returns the number of requests that wait or run at the server. */
     std::uint32_t load() const
--- a/src/systems/owner_dispatch.cpp
+++ b/src/systems/owner_dispatch.cpp
@@ -236,7 +236,7 @@
     return m_links.take_survivals();
 }
 
-std::vector<fingerprint> owner_dispatch::take_completed()
+std::vector<completed_part> owner_dispatch::take_completed()
 {
     return m_merger.take_completed();
 }
--- a/src/systems/owner_dispatch.hpp
+++ b/src/systems/owner_dispatch.hpp
@@ -54,8 +54,8 @@
     std::vector<server_death> take_deaths();
     /** Takes those deaths that were only the loss of a link. */
     std::vector<server_death> take_survivals();
-    /** Takes the fingerprints of requests that were completed. */
-    std::vector<fingerprint> take_completed();
+    /** Takes the parts that were completed. */
+    std::vector<completed_part> take_completed();
 
     /** Returns the row of a server; null when this VM has none. */
     const owned_server* find(backend_server_id server) const;
--- a/src/systems/owner_links.cpp
+++ b/src/systems/owner_links.cpp
@@ -92,17 +92,17 @@
 
 void owner_links::note_death(owned_server& row)
 {
-    row.lost_prints = m_sends.lose_in_flight(row);
-    if (!row.lost_prints.empty()) {
-        m_deaths.push_back({row.id, row.lost_prints});
+    row.lost_requests = m_sends.lose_in_flight(row);
+    if (!row.lost_requests.empty()) {
+        m_deaths.push_back({row.id, row.lost_requests});
     }
 }
 
 void owner_links::check_survival(owned_server& row, incarnation process)
 {
-    const auto prints = std::exchange(row.lost_prints, {});
-    if (!prints.empty() && row.process == process) {
-        m_survivals.push_back({row.id, prints});
+    const auto requests = std::exchange(row.lost_requests, {});
+    if (!requests.empty() && row.process == process) {
+        m_survivals.push_back({row.id, requests});
     }
 }
 
--- a/src/systems/owner_sends.cpp
+++ b/src/systems/owner_sends.cpp
@@ -140,17 +140,31 @@
             finish(&row, next->query, next->ask, *refusal);
             continue;
         }
+        if (!may_share(row, next->query->request.print, now)) {
+            finish(&row, next->query, next->ask, shard_outcome::shed);
+            continue;
+        }
         send(row, *next, now, out);
     }
 }
 
+bool owner_sends::may_share(const owned_server& row, fingerprint print,
+                            time_point now) const
+{
+    std::vector<fingerprint> others;
+    for (const auto& [id, sent] : row.in_flight) {
+        others.push_back(sent.request.print);
+    }
+    return m_gate.may_share(print, others, now);
+}
+
 void owner_sends::send(owned_server& row, const queued_ask& item,
                        time_point now, outbox& out)
 {
     in_flight_ask sent;
     sent.ask = item.ask;
     sent.query = item.query;
-    sent.print = item.query->request.print;
+    sent.request = {item.query->request.print, item.query->entry};
     sent.sent_at = now;
     sent.deadline = item.query->deadline;
     const duration time_left = time_for(row, *item.query, now);
@@ -249,20 +263,18 @@
     }
 }
 
-std::vector<fingerprint> owner_sends::lose_in_flight(owned_server& row)
+std::vector<request_at_death> owner_sends::lose_in_flight(owned_server& row)
 {
-    std::vector<fingerprint> prints;
+    std::vector<request_at_death> requests;
     for (const auto& [id, sent] : row.in_flight) {
-        prints.push_back(sent.print);
+        requests.push_back(sent.request);
         row.orphans.push_back(sent.ends_at);
         if (sent.query) {
             finish(&row, sent.query, sent.ask, shard_outcome::unknown);
         }
     }
     row.in_flight.clear();
-    std::sort(prints.begin(), prints.end());
-    prints.erase(std::unique(prints.begin(), prints.end()), prints.end());
-    return prints;
+    return requests;
 }
 
 void owner_sends::forget_process(owned_server& row)
--- a/src/systems/owner_sends.hpp
+++ b/src/systems/owner_sends.hpp
@@ -17,6 +17,10 @@
     virtual std::optional<shard_outcome> forbids(const owner_request& request,
                                                  const shard_ask& ask,
                                                  time_point now) const = 0;
+    /** Returns whether a request may run at a server beside others. */
+    virtual bool may_share(fingerprint print,
+                           const std::vector<fingerprint>& others,
+                           time_point now) const = 0;
 };
 
 /** Counts of what the owner side did and dropped, since the start. */
@@ -60,7 +64,7 @@
      * Ends all asks in flight, as their link is gone. Returns their
      * fingerprints. The server may still work on them.
      */
-    std::vector<fingerprint> lose_in_flight(owned_server& row);
+    std::vector<request_at_death> lose_in_flight(owned_server& row);
     /** Clears the window of requests of a process that is gone. */
     static void forget_process(owned_server& row);
     /** Drops late asks and gives up those without a reply in time. */
@@ -78,6 +82,8 @@
                                          const owner_request& request,
                                          const shard_ask& ask,
                                          time_point now) const;
+    bool may_share(const owned_server& row, fingerprint print,
+                   time_point now) const;
     void enqueue(owned_server& row, queued_ask item, time_point now);
     void send(owned_server& row, const queued_ask& item, time_point now,
               outbox& out);
--- a/src/systems/quarantine.cpp
+++ b/src/systems/quarantine.cpp
@@ -39,6 +39,25 @@
                : quarantine_verdict::retry_limited;
 }
 
+bool quarantine::may_hedge(fingerprint print, time_point now) const
+{
+    return check(print, now) == quarantine_verdict::free;
+}
+
+bool quarantine::may_retry(fingerprint print, std::size_t sends,
+                           time_point now) const
+{
+    switch (check(print, now)) {
+    case quarantine_verdict::free:
+        return true;
+    case quarantine_verdict::retry_limited:
+        return sends < 2;
+    case quarantine_verdict::refused:
+        return false;
+    }
+    return false;
+}
+
 bool quarantine::may_share(fingerprint print,
                            const std::vector<fingerprint>& others,
                            time_point now) const
--- a/src/systems/quarantine.hpp
+++ b/src/systems/quarantine.hpp
@@ -3,6 +3,8 @@
 
 #include "core/outbox.hpp"
 #include "core/role_view.hpp"
+#include "systems/repeat_gate.hpp"
+#include "systems/request_at_death.hpp"
 
 #include <map>
 #include <memory>
@@ -22,21 +24,13 @@
     refused,
 };
 
-/** A request that a backend server had when it died. */
-struct request_at_death
-{
-    fingerprint print;
-    /** Entry VM of the request. */
-    vm_id entry;
-};
-
 /**
  * Strikes against requests under which backend servers died. A request that
  * was on a server when it died is a suspect until it completes on another
  * server of the same shard; a second death under it has it refused for a
  * while. Suspects do not share a server, so that a death speaks against one.
  */
-class quarantine
+class quarantine : public repeat_gate
 {
 public:
     quarantine(vm_id self, role_view& roles);
@@ -47,6 +41,10 @@
     /** Returns what may be done with a request. */
     quarantine_verdict check(fingerprint print, time_point now) const;
 
+    bool may_hedge(fingerprint print, time_point now) const override;
+    bool may_retry(fingerprint print, std::size_t sends,
+                   time_point now) const override;
+
     /** Returns whether a request may run beside others on one server. */
     bool may_share(fingerprint print, const std::vector<fingerprint>& others,
                    time_point now) const;
@@ -60,7 +58,7 @@
     void completed(fingerprint print, shard_id shard);
 
     /** A request completed on every shard; tells who suspects it. */
-    void completed_everywhere(fingerprint print, outbox& out);
+    void completed_everywhere(fingerprint print, outbox& out) override;
 
     /** Takes what a peer knows of a request. */
     void receive(vm_id from, const quarantine_notice& notice, time_point now,
--- a/src/systems/query_coordinator.cpp
+++ b/src/systems/query_coordinator.cpp
@@ -237,12 +237,14 @@
         return;
     case shard_outcome::failed:
     case shard_outcome::unknown:
-        if (m_use.repeats.may_retry(row.request.print, now)) {
+        if (m_use.repeats.may_retry(row.request.print, shard.attempts.size(),
+                                    now)) {
             shard.retry_at = now;
         }
         return;
     case shard_outcome::done:
     case shard_outcome::cancelled:
+    case shard_outcome::quarantined:
     case shard_outcome::too_late:
         return;
     }
@@ -429,6 +431,9 @@
         refuse(row, std::move(error), now, out);
         return;
     }
+    if (covers.whole()) {
+        m_use.repeats.completed_everywhere(row.request.print, out);
+    }
     cancel_open(row, now, out);
     out.issue(answer_caller{row.request.token,
                             answered{std::move(row.hits), std::move(covers)}});
--- a/src/systems/query_coordinator.hpp
+++ b/src/systems/query_coordinator.hpp
@@ -26,7 +26,7 @@
     {
         role_view& roles;
         const rights_check& rights;
-        const repeat_gate& repeats;
+        repeat_gate& repeats;
         latency_estimate& latencies;
         extra_budget& budget;
         replica_choice& replicas;
--- a/src/systems/repeat_gate.hpp
+++ b/src/systems/repeat_gate.hpp
@@ -1,8 +1,7 @@
 #ifndef CRANBERRYWOOD_SYSTEMS_REPEAT_GATE_HPP
 #define CRANBERRYWOOD_SYSTEMS_REPEAT_GATE_HPP
 
-#include "units/ids.hpp"
-#include "units/time.hpp"
+#include "core/outbox.hpp"
 
 namespace cranberrywood {
 
@@ -15,8 +14,12 @@
     /** Returns whether a request may be sent to a second server at once. */
     virtual bool may_hedge(fingerprint print, time_point now) const = 0;
 
-    /** Returns whether a request may be sent again after a failure. */
-    virtual bool may_retry(fingerprint print, time_point now) const = 0;
+    /** Returns whether to send again after a number of sends failed. */
+    virtual bool may_retry(fingerprint print, std::size_t sends,
+                           time_point now) const = 0;
+
+    /** A request was completed on every shard. */
+    virtual void completed_everywhere(fingerprint print, outbox& out) = 0;
 };
 
 } // namespace cranberrywood
--- a/src/systems/reply_merger.cpp
+++ b/src/systems/reply_merger.cpp
@@ -56,7 +56,7 @@
 {
     query->results.push_back(result);
     if (result.outcome == shard_outcome::done) {
-        note_completed(*query);
+        note_completed(*query, result.shard);
     }
     mark_for_flush(query);
     query->open_asks.erase(result.id);
@@ -99,7 +99,7 @@
     m_to_flush.clear();
 }
 
-std::vector<fingerprint> reply_merger::take_completed()
+std::vector<completed_part> reply_merger::take_completed()
 {
     return std::exchange(m_completed, {});
 }
@@ -118,12 +118,10 @@
     }
 }
 
-// One entry per query is enough: its parts share the fingerprint.
-void reply_merger::note_completed(owned_query& query)
+void reply_merger::note_completed(const owned_query& query, shard_id shard)
 {
-    if (!query.completed_any && m_completed.size() < max_completed) {
-        query.completed_any = true;
-        m_completed.push_back(query.request.print);
+    if (m_completed.size() < max_completed) {
+        m_completed.push_back({query.request.print, shard});
     }
 }
 
--- a/src/systems/reply_merger.hpp
+++ b/src/systems/reply_merger.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_SYSTEMS_REPLY_MERGER_HPP
 
 #include "core/outbox.hpp"
+#include "systems/request_at_death.hpp"
 
 #include <map>
 #include <memory>
@@ -23,7 +24,6 @@
     std::vector<held_versions> versions;
     std::vector<hit> hits;
     bool queued_for_flush = false;
-    bool completed_any = false;
 };
 
 /**
@@ -56,8 +56,8 @@
     /** Sends everything that was collected since the last call. */
     void flush(outbox& out);
 
-    /** Takes the fingerprints of which a part was completed. */
-    std::vector<fingerprint> take_completed();
+    /** Takes the parts that were completed. */
+    std::vector<completed_part> take_completed();
 
     /** Returns the number of queries with open asks. */
     std::size_t size() const
@@ -77,12 +77,12 @@
 
     static query_key key_of(vm_id entry, const owner_request& request);
     void mark_for_flush(const query_pointer& query);
-    void note_completed(owned_query& query);
+    void note_completed(const owned_query& query, shard_id shard);
 
     std::map<query_key, query_pointer> m_queries;
     std::vector<query_pointer> m_to_flush;
     std::map<std::pair<vm_id, backend_server_id>, told> m_told;
-    std::vector<fingerprint> m_completed;
+    std::vector<completed_part> m_completed;
 };
 
 } // namespace cranberrywood
--- /dev/null
+++ b/src/systems/request_at_death.hpp
@@ -0,0 +1,25 @@
+#ifndef CRANBERRYWOOD_SYSTEMS_REQUEST_AT_DEATH_HPP
+#define CRANBERRYWOOD_SYSTEMS_REQUEST_AT_DEATH_HPP
+
+#include "units/ids.hpp"
+
+namespace cranberrywood {
+
+/** A request that a backend server had when it died. */
+struct request_at_death
+{
+    fingerprint print;
+    /** Entry VM of the request. */
+    vm_id entry;
+};
+
+/** A request's part that a backend server completed. */
+struct completed_part
+{
+    fingerprint print;
+    shard_id shard;
+};
+
+} // namespace cranberrywood
+
+#endif
