--- a/src/cranberrywoodctl/main.cpp
+++ b/src/cranberrywoodctl/main.cpp
@@ -1,6 +1,7 @@
 #include "cranberrywoodctl/check_command.hpp"
 #include "cranberrywoodctl/digest_command.hpp"
 #include "cranberrywoodctl/effective_command.hpp"
+#include "cranberrywoodctl/reference_command.hpp"
 
 #include <iostream>
 
@@ -18,6 +19,7 @@
 const std::vector<command> commands = {
     {"check", check_command, "check a base file and its overlays"},
     {"effective", effective_command, "print a site's settings with origins"},
+    {"reference", reference_command, "print the tables of settings keys"},
     {"digest", digest_command, "print the digest of a workspace's key"},
 };
 
