--- a/src/systems/query_coordinator.cpp
+++ b/src/systems/query_coordinator.cpp
@@ -22,8 +22,6 @@
 constexpr duration straggler_interval = 5ms;
 /** Sends of one shard's part, hedges and retries included. */
 constexpr std::size_t max_attempts = 6;
-/** Share of sub-requests that are back before a hedge is sent. */
-constexpr double hedge_quantile = 0.95;
 /** Share of the deadline after which to hedge when no estimate exists. */
 constexpr int unknown_latency_divisor = 4;
 
@@ -499,8 +497,10 @@
 
 duration query_coordinator::hedge_delay(const query_row& row) const
 {
-    const auto known =
-        m_use.latencies.quantile(row.request.service, hedge_quantile);
+    const service_id service = row.request.service;
+    const double quantile =
+        hedge_quantile(m_settings->find(service)->extra_percent);
+    const auto known = m_use.latencies.quantile(service, quantile);
     const duration allowed = row.request.deadline - row.request.arrived;
     return known.value_or(allowed / unknown_latency_divisor);
 }
