--- /dev/null
+++ b/src/io/boot_clock.hpp
@@ -0,0 +1,20 @@
+#ifndef CRANBERRYWOOD_IO_BOOT_CLOCK_HPP
+#define CRANBERRYWOOD_IO_BOOT_CLOCK_HPP
+
+#include "units/time.hpp"
+
+namespace cranberrywood {
+
+/**
+ * Monotonic clock of the machine that goes on while the machine is suspended,
+ * so that a process that wakes late sees that its leases have lapsed.
+ */
+class boot_clock : public clock
+{
+public:
+    time_point now() const override;
+};
+
+} // namespace cranberrywood
+
+#endif
--- /dev/null
+++ b/src/io/endpoint.hpp
@@ -0,0 +1,33 @@
+#ifndef CRANBERRYWOOD_IO_ENDPOINT_HPP
+#define CRANBERRYWOOD_IO_ENDPOINT_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace cranberrywood {
+
+/** Where a process listens: an IP number and a TCP port. */
+struct endpoint
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const endpoint& a, const endpoint& b)
+    {
+        return a.host == b.host && a.port == b.port;
+    }
+    friend bool operator!=(const endpoint& a, const endpoint& b)
+    {
+        return !(a == b);
+    }
+};
+
+/** Returns `host:port`. */
+inline std::string to_string(const endpoint& e)
+{
+    return e.host + ":" + std::to_string(e.port);
+}
+
+} // namespace cranberrywood
+
+#endif
