quarantine: strikes against requests under which servers die

A death counts against every request that the server had, so an innocent one must be able to clear itself: it runs on beside no other suspect, and its completion on the struck shard takes the strike away. Deaths of one moment on several shards are one strike, as all wide queries were on the same servers.

--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -29,6 +29,7 @@
     lease_released = 1202,
     lease_lapsed = 1203,
     membership_changed = 1204,
+    request_refused_after_crashes = 1701,
     port_not_free = 1801,
     peer_frame_refused = 1802,
     backend_frame_refused = 1803,
--- /dev/null
+++ b/src/systems/quarantine.cpp
@@ -0,0 +1,239 @@
+#include "systems/quarantine.hpp"
+
+#include <algorithm>
+
+namespace cranberrywood {
+
+namespace {
+
+/** Strikes at which a request is refused. */
+constexpr std::uint32_t refused_at = 2;
+/** Time in which deaths on several shards count as one strike. */
+constexpr duration wave = std::chrono::seconds(1);
+/** Fingerprints that are kept. */
+constexpr std::size_t max_suspects = 4096;
+/** VMs that one tick tells of a refusal. */
+constexpr std::size_t notices_per_tick = 32;
+
+} // namespace
+
+quarantine::quarantine(vm_id self, role_view& roles)
+    : m_self(self), m_roles(roles)
+{
+}
+
+void quarantine::settings_changed(
+    std::shared_ptr<const settings_index> settings)
+{
+    m_settings = std::move(settings);
+}
+
+quarantine_verdict quarantine::check(fingerprint print, time_point now) const
+{
+    const auto found = m_suspects.find(print);
+    if (found == m_suspects.end() || now >= found->second.until) {
+        return quarantine_verdict::free;
+    }
+    return found->second.strikes >= refused_at
+               ? quarantine_verdict::refused
+               : quarantine_verdict::retry_limited;
+}
+
+bool quarantine::may_share(fingerprint print,
+                           const std::vector<fingerprint>& others,
+                           time_point now) const
+{
+    if (check(print, now) == quarantine_verdict::free) {
+        return true;
+    }
+    return std::all_of(others.begin(), others.end(), [&](fingerprint other) {
+        return other == print || check(other, now) == quarantine_verdict::free;
+    });
+}
+
+void quarantine::server_died(backend_server_id server,
+                             const std::vector<request_at_death>& requests,
+                             time_point now, outbox& out)
+{
+    const auto* settings =
+        m_settings == nullptr ? nullptr : m_settings->find(server);
+    if (settings == nullptr) {
+        return;
+    }
+    const std::set<vm_id> owners = owners_beside(*settings);
+    std::set<fingerprint> struck;
+    for (const auto& request : requests) {
+        if (struck.insert(request.print).second) {
+            strike(request, settings->shard, owners, now, out);
+        }
+    }
+}
+
+void quarantine::completed(fingerprint print, shard_id shard)
+{
+    const auto found = m_suspects.find(print);
+    if (found == m_suspects.end() || found->second.strikes >= refused_at) {
+        return;
+    }
+    suspect& s = found->second;
+    s.shards.erase(shard);
+    if (s.shards.empty() && s.reporters.empty()) {
+        m_suspects.erase(found);
+    }
+}
+
+void quarantine::completed_everywhere(fingerprint print, outbox& out)
+{
+    const auto found = m_suspects.find(print);
+    if (found == m_suspects.end() || found->second.strikes >= refused_at) {
+        return;
+    }
+    clear(found, m_self, out);
+}
+
+// Two VMs may tell of the same death, so that the larger count is taken and
+// not the sum.
+void quarantine::receive(vm_id from, const quarantine_notice& notice,
+                         time_point now, outbox& out)
+{
+    const auto found = m_suspects.find(notice.print);
+    if (notice.strikes == 0) {
+        const bool suspected =
+            found != m_suspects.end() && found->second.strikes < refused_at;
+        if (suspected) {
+            clear(found, from, out);
+        }
+        return;
+    }
+    if (from == m_self) {
+        return;
+    }
+    suspect& s = keep(notice.print);
+    s.strikes = std::max(s.strikes, notice.strikes);
+    s.until = std::max(s.until, now + std::min(notice.valid_for, life()));
+    s.last_strike = now;
+    s.reporters.insert(from);
+}
+
+void quarantine::tick(time_point now, outbox& out)
+{
+    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+        it = now >= it->second.until ? m_suspects.erase(it) : std::next(it);
+    }
+    spread_refusals(now, out);
+}
+
+std::size_t quarantine::size() const
+{
+    return m_suspects.size();
+}
+
+duration quarantine::life() const
+{
+    return m_settings == nullptr ? duration(0) : m_settings->fleet().quarantine;
+}
+
+// The word goes on to everyone who was told, but for where it came from.
+void quarantine::clear(suspects_by_print::iterator it, vm_id told_by,
+                       outbox& out)
+{
+    std::set<vm_id> receivers = it->second.reporters;
+    receivers.insert(it->second.told.begin(), it->second.told.end());
+    for (const auto receiver : receivers) {
+        if (receiver != told_by) {
+            out.to_peer(receiver, quarantine_notice{it->first, 0, duration(0)});
+        }
+    }
+    m_suspects.erase(it);
+}
+
+quarantine::suspect& quarantine::keep(fingerprint print)
+{
+    if (m_suspects.count(print) == 0 && m_suspects.size() >= max_suspects) {
+        make_room();
+    }
+    return m_suspects[print];
+}
+
+// Whoever is refused stays longest: forgetting it costs a server.
+void quarantine::make_room()
+{
+    const auto before = [](const auto& a, const auto& b) {
+        const bool a_refused = a.second.strikes >= refused_at;
+        const bool b_refused = b.second.strikes >= refused_at;
+        return a_refused != b_refused ? b_refused
+                                      : a.second.until < b.second.until;
+    };
+    m_suspects.erase(
+        std::min_element(m_suspects.begin(), m_suspects.end(), before));
+}
+
+// A query is on many shards at once. When one request takes down servers of
+// several shards, every other query in flight was on the same servers, so the
+// deaths of one moment are one strike. A death on a shard that was struck
+// before is another, as the request was run there again.
+void quarantine::strike(const request_at_death& request, shard_id shard,
+                        const std::set<vm_id>& owners, time_point now,
+                        outbox& out)
+{
+    suspect& s = keep(request.print);
+    const bool again = s.shards.count(shard) > 0;
+    const bool same_wave = s.strikes > 0 && now - s.last_strike < wave;
+    s.shards.insert(shard);
+    s.until = now + life();
+    if (same_wave && !again) {
+        return;
+    }
+    s.strikes += 1;
+    s.last_strike = now;
+    const quarantine_notice notice{request.print, s.strikes, life()};
+    if (s.strikes == refused_at) {
+        m_spreads.push_back({request.print, 0});
+        out.log(log_code::request_refused_after_crashes,
+                "fingerprint=" + std::to_string(request.print.value()));
+    }
+    std::set<vm_id> receivers = owners;
+    receivers.insert(request.entry);
+    for (const auto receiver : receivers) {
+        if (receiver.is_set() && receiver != m_self) {
+            s.told.insert(receiver);
+            out.to_peer(receiver, notice);
+        }
+    }
+}
+
+std::set<vm_id>
+quarantine::owners_beside(const backend_server_settings& server) const
+{
+    std::set<vm_id> owners;
+    for (const auto replica : m_settings->replicas_of(server.shard)) {
+        const auto group =
+            m_roles.map().owner_group(*m_settings->find(replica));
+        const vm_id owner = m_roles.believed_holder(group);
+        if (owner.is_set()) {
+            owners.insert(owner);
+        }
+    }
+    return owners;
+}
+
+void quarantine::spread_refusals(time_point now, outbox& out)
+{
+    if (m_spreads.empty() || m_settings == nullptr) {
+        return;
+    }
+    spread& s = m_spreads.back();
+    const auto& vms = m_settings->all().vms;
+    const std::size_t end = std::min(vms.size(), s.next + notices_per_tick);
+    const auto found = m_suspects.find(s.print);
+    for (; found != m_suspects.end() && s.next < end; ++s.next) {
+        const quarantine_notice notice{s.print, found->second.strikes,
+                                       found->second.until - now};
+        out.to_peer(vms[s.next].id, notice);
+    }
+    if (found == m_suspects.end() || s.next >= vms.size()) {
+        m_spreads.pop_back();
+    }
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/tests/quarantine_test.cpp
@@ -0,0 +1,173 @@
+#include "systems/quarantine.hpp"
+
+#include "fakes/manual_role_view.hpp"
+#include "fakes/sample_settings.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cranberrywood;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(quarantine)
+{
+    std::shared_ptr<const settings_index> settings = fakes::sample_index();
+    fakes::manual_role_view roles{settings};
+    quarantine table{id_of<vm_id>("vm-0"), roles};
+    outbox out;
+    time_point t0 = time_point(seconds(100));
+    fingerprint poison{1};
+    fingerprint innocent{2};
+    vm_id entry = id_of<vm_id>("vm-1");
+    vm_id owner = id_of<vm_id>("vm-2");
+
+    void setup() override
+    {
+        roles.believe_all(owner);
+        table.settings_changed(settings);
+    }
+
+    void die(const char* server, std::vector<fingerprint> prints,
+             time_point now)
+    {
+        std::vector<request_at_death> requests;
+        for (const auto print : prints) {
+            requests.push_back({print, entry});
+        }
+        table.server_died(id_of<backend_server_id>(server), requests, now, out);
+    }
+
+    bool refused(fingerprint print, time_point now)
+    {
+        return table.check(print, now) == quarantine_verdict::refused;
+    }
+
+    bool limited(fingerprint print, time_point now)
+    {
+        return table.check(print, now) == quarantine_verdict::retry_limited;
+    }
+};
+
+TEST(quarantine, second_death_on_a_shard_refuses)
+{
+    die("s0-r0", {poison}, t0);
+    CHECK(limited(poison, t0));
+    die("s0-r1", {poison}, t0 + milliseconds(5));
+    CHECK(refused(poison, t0 + milliseconds(5)));
+    CHECK_FALSE(refused(poison, t0 + seconds(301)));
+}
+
+TEST(quarantine, one_shared_crash_refuses_nobody)
+{
+    die("s0-r0", {poison, innocent, innocent}, t0);
+    CHECK(limited(poison, t0));
+    CHECK(limited(innocent, t0));
+}
+
+TEST(quarantine, deaths_of_one_moment_on_many_shards_are_one_strike)
+{
+    for (const char* server : {"s0-r0", "s1-r0", "s2-r0"}) {
+        die(server, {poison, innocent}, t0);
+    }
+    CHECK(limited(innocent, t0));
+    die("s1-r1", {poison}, t0 + milliseconds(20));
+    CHECK(refused(poison, t0 + milliseconds(20)));
+    CHECK(limited(innocent, t0 + milliseconds(20)));
+}
+
+TEST(quarantine, suspect_is_cleared_by_the_shard_that_struck_it)
+{
+    die("s0-r0", {poison, innocent}, t0);
+    table.completed(innocent, shard_id_of("search", "s1"));
+    CHECK(limited(innocent, t0));
+    table.completed(innocent, shard_id_of("search", "s0"));
+    CHECK(table.check(innocent, t0) == quarantine_verdict::free);
+}
+
+TEST(quarantine, suspects_do_not_share_a_server)
+{
+    die("s0-r0", {poison, innocent}, t0);
+    CHECK_FALSE(table.may_share(innocent, {poison}, t0));
+    CHECK(table.may_share(innocent, {fingerprint(3)}, t0));
+    CHECK(table.may_share(fingerprint(3), {poison}, t0));
+}
+
+TEST(quarantine, first_strike_goes_to_the_owners_of_the_shard_and_the_entry)
+{
+    die("s0-r0", {poison}, t0);
+    std::set<vm_id> told;
+    for (const auto& message : out.take_peer_messages()) {
+        told.insert(message.to);
+    }
+    CHECK(told == std::set<vm_id>({owner, entry}));
+}
+
+TEST(quarantine, refusal_goes_to_every_vm_a_few_at_a_time)
+{
+    fakes::sample_shape shape;
+    shape.vms = 100;
+    table.settings_changed(fakes::sample_index(shape));
+    die("s0-r0", {poison}, t0);
+    die("s0-r1", {poison}, t0);
+    out.take_peer_messages();
+    std::set<vm_id> told;
+    for (int i = 0; i < 4; ++i) {
+        table.tick(t0, out);
+        const auto messages = out.take_peer_messages();
+        CHECK(messages.size() <= 32);
+        for (const auto& message : messages) {
+            told.insert(message.to);
+        }
+    }
+    CHECK_EQUAL(100, told.size());
+}
+
+TEST(quarantine, strikes_told_twice_count_once)
+{
+    const quarantine_notice notice{poison, 1, seconds(300)};
+    table.receive(owner, notice, t0, out);
+    table.receive(entry, notice, t0, out);
+    CHECK(limited(poison, t0));
+    die("s0-r0", {poison}, t0 + seconds(2));
+    CHECK(refused(poison, t0 + seconds(2)));
+}
+
+TEST(quarantine, whole_answer_clears_the_suspect_where_it_was_told)
+{
+    die("s0-r0", {innocent}, t0);
+    quarantine at_entry(entry, roles);
+    at_entry.settings_changed(settings);
+    at_entry.receive(owner, {innocent, 1, seconds(300)}, t0, out);
+    out.take_peer_messages();
+    at_entry.completed_everywhere(innocent, out);
+    const auto messages = out.take_peer_messages();
+    CHECK_EQUAL(1, messages.size());
+    CHECK(messages.at(0).to == owner);
+    const auto word = std::get<quarantine_notice>(messages.at(0).body);
+    table.receive(entry, word, t0, out);
+    CHECK(table.check(innocent, t0) == quarantine_verdict::free);
+    CHECK(out.take_peer_messages().at(0).to == owner);
+}
+
+TEST(quarantine, refusal_is_not_cleared)
+{
+    die("s0-r0", {poison}, t0);
+    die("s0-r1", {poison}, t0);
+    table.completed(poison, shard_id_of("search", "s0"));
+    table.completed_everywhere(poison, out);
+    table.receive(entry, {poison, 0, duration(0)}, t0, out);
+    CHECK(refused(poison, t0));
+}
+
+TEST(quarantine, full_table_keeps_the_refused)
+{
+    die("s0-r0", {poison}, t0);
+    die("s0-r1", {poison}, t0);
+    for (std::uint64_t i = 10; i < 5010; ++i) {
+        table.receive(owner, {fingerprint(i), 1, seconds(300)}, t0, out);
+    }
+    CHECK_EQUAL(4096, table.size());
+    CHECK(refused(poison, t0));
+    table.tick(t0 + seconds(301), out);
+    CHECK_EQUAL(0, table.size());
+}
