--- a/src/systems/demand_estimate.cpp
+++ b/src/systems/demand_estimate.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-constexpr duration step = std::chrono::milliseconds(50);
+constexpr duration step = std::chrono::milliseconds(200);
 /** Steps after which nothing of a count is left. */
-constexpr int forgotten_after = 200;
+constexpr int forgotten_after = 50;
 constexpr std::uint64_t scale = 1000;
 /** Steps whose arrivals the discounted sum stands for, at a steady rate. */
 constexpr std::uint64_t steps_in_sum = 4;
