--- a/src/tests/fakes/lookup_run.hpp
+++ b/src/tests/fakes/lookup_run.hpp
@@ -236,13 +236,14 @@
         if (paused(vm) || m_now - first >= std::chrono::seconds(10)) {
             return;
         }
-        caller_request request;
+        admitted_request request;
         request.token = caller_token(++m_last_token);
-        request.service = "search";
-        request.caller_request_id = std::to_string(number);
-        request.deadline = std::chrono::milliseconds(200 + m_random.below(800));
-        request.body = request.caller_request_id;
+        request.rights.workspace = workspace_id(1);
+        request.body = std::to_string(number);
         const request_id id = request_id_of(workspace_id(1), request.body);
+        request.lookup = id;
+        request.deadline =
+            m_now + std::chrono::milliseconds(200 + m_random.below(800));
         m_request_of[request.token] = id;
         m_may_run[id] += 1;
         machine& m = m_machines[vm];
@@ -250,8 +251,7 @@
         if (chance(100)) {
             m.roles->believe_all(vm_id(1 + m_random.below(lookup_vms)));
         }
-        m.client->start(request, workspace_id(1), revision_number(1), m_now,
-                        m.out);
+        m.client->start(request, m_now, m.out);
         flush(vm);
     }
 
