--- a/src/cranberrywoodctl/main.cpp
+++ b/src/cranberrywoodctl/main.cpp
@@ -1,7 +1,12 @@
+#include "cranberrywoodctl/burn_command.hpp"
 #include "cranberrywoodctl/check_command.hpp"
 #include "cranberrywoodctl/digest_command.hpp"
 #include "cranberrywoodctl/effective_command.hpp"
+#include "cranberrywoodctl/load_command.hpp"
+#include "cranberrywoodctl/lookup_command.hpp"
+#include "cranberrywoodctl/query_command.hpp"
 #include "cranberrywoodctl/reference_command.hpp"
+#include "cranberrywoodctl/status_command.hpp"
 
 #include <iostream>
 
@@ -21,6 +26,11 @@
     {"effective", effective_command, "print a site's settings with origins"},
     {"reference", reference_command, "print the tables of settings keys"},
     {"digest", digest_command, "print the digest of a workspace's key"},
+    {"query", query_command, "send a query"},
+    {"lookup", lookup_command, "send a lookup, which runs at most once"},
+    {"load", load_command, "send queries at a fixed rate and report"},
+    {"status", status_command, "print the state of VMs"},
+    {"burn", burn_command, "report the burn of service levels"},
 };
 
 void print_usage(std::ostream& out)
