--- a/src/systems/extra_budget.hpp
+++ b/src/systems/extra_budget.hpp
@@ -5,6 +5,13 @@
 
 namespace cranberrywood {
 
+/**
+ * Returns the latency quantile after which sub-requests are hedged, so that
+ * hedges use half of the extra sends that a service allows. The other half
+ * is left for retries and for times with more stragglers.
+ */
+double hedge_quantile(std::uint32_t extra_percent);
+
 /**
  * Budget of hedges and retries together, as a share of first sends. As every
  * entry VM keeps to its own, the fleet's extra load is bounded by the share.
--- a/src/systems/owned_server.hpp
+++ b/src/systems/owned_server.hpp
@@ -33,6 +33,8 @@
     time_point deadline;
     /** Time at which the server stops to work on it. */
     time_point ends_at;
+    /** The server was told to stop; its reply says nothing of its health. */
+    bool cancelled = false;
 };
 
 /** Table row of a backend server that this VM owns, or has just owned. */
--- a/src/systems/owner_sends.cpp
+++ b/src/systems/owner_sends.cpp
@@ -205,7 +205,11 @@
                          backend_reply reply, time_point now)
 {
     shard_outcome outcome = outcome_of(reply.outcome);
-    count_in_window(row.window, outcome, now - sent.sent_at, now);
+    if (sent.cancelled && outcome != shard_outcome::done) {
+        row.window.released();
+    } else {
+        count_in_window(row.window, outcome, now - sent.sent_at, now);
+    }
     if (reply.outcome == backend_outcome::draining) {
         row.server_drains = true;
         row.server_drains_since = now;
@@ -237,7 +241,9 @@
     for (const auto& item : waiting) {
         finish(&row, query, item.ask, shard_outcome::cancelled);
     }
-    if (row.in_flight.count(id) != 0 && query->request.repeatable) {
+    const auto sent = row.in_flight.find(id);
+    if (sent != row.in_flight.end() && query->request.repeatable) {
+        sent->second.cancelled = true;
         out.issue(cancel_at_backend{row.id, {id}});
     }
 }
@@ -302,6 +308,7 @@
     out.issue(cancel_at_backend{row.id, {sent.ask.id}});
     finish(&row, sent.query, sent.ask, shard_outcome::unknown);
     sent.query = nullptr;
+    sent.cancelled = true;
 }
 
 void owner_sends::finish_late(owned_server& row)
