hedging: latency samples lose half of their weight in 1 s

Cause: with 5 s, latencies of a cold start or an overload kept the hedge quantile high for half a minute.

--- a/src/systems/latency_estimate.cpp
+++ b/src/systems/latency_estimate.cpp
@@ -7,9 +7,12 @@
 
 namespace {
 
-constexpr duration halve_every = std::chrono::seconds(5);
+constexpr duration halve_every = std::chrono::seconds(1);
 constexpr std::uint64_t min_samples = 50;
 
+// A service with few requests keeps old samples rather than none.
+constexpr std::uint64_t min_samples_to_halve = 4 * min_samples;
+
 // Lower end of the first bucket; the last one ends 24 octaves above.
 constexpr duration first_bucket = std::chrono::microseconds(16);
 
@@ -22,7 +25,7 @@
     if (h.total == 0) {
         h.halved_at = now;
     }
-    if (now - h.halved_at >= halve_every) {
+    if (now - h.halved_at >= halve_every && h.total >= min_samples_to_halve) {
         halve(h);
         h.halved_at = now;
     }
