hedging: what is known of a silent server's latency fades

Cause: a server that was slow once was never asked again while others were fast, so the load stayed uneven. Its latency now halves each second without a word. A cold server counts as twice as loaded.

--- a/src/systems/replica_choice.cpp
+++ b/src/systems/replica_choice.cpp
@@ -15,12 +15,18 @@
 constexpr duration queue_half_life = std::chrono::milliseconds(50);
 constexpr std::int64_t max_halvings = 16;
 
+// So does an observed latency: a server that was slow is asked again.
+constexpr duration latency_half_life = std::chrono::seconds(1);
+
 // A server is asked again at the latest after this time without a word.
 constexpr duration cold_life = std::chrono::seconds(2);
 
 constexpr duration first_avoidance = std::chrono::milliseconds(100);
 constexpr std::uint32_t max_doublings = 5;
 
+// A cold server bears less, and much of its time is needed for warming.
+constexpr double cold_handicap = 2.0;
+
 // Another data centre is used when the own one is this much more loaded.
 constexpr double local_preference = 2.0;
 
@@ -171,13 +177,18 @@
     if (o == nullptr) {
         return static_cast<double>(unknown_latency.count());
     }
-    const auto halvings = std::min<std::int64_t>(
-        (now - o->seen_at) / queue_half_life, max_halvings);
-    const std::uint32_t queue = o->queue_length >> halvings;
+    const duration age = now - o->seen_at;
+    const auto halvings = [age](duration half_life) {
+        return std::min<std::int64_t>(age / half_life, max_halvings);
+    };
+    const std::uint32_t queue = o->queue_length >> halvings(queue_half_life);
     const auto waiting =
         static_cast<double>(1 + std::max(o->outstanding, queue));
-    const duration latency = std::max(o->latency, unknown_latency);
-    return waiting * static_cast<double>(latency.count());
+    const duration observed_latency =
+        o->latency / (std::int64_t(1) << halvings(latency_half_life));
+    const duration latency = std::max(observed_latency, unknown_latency);
+    const double cold = is_cold(server, now) ? cold_handicap : 1.0;
+    return cold * waiting * static_cast<double>(latency.count());
 }
 
 } // namespace cranberrywood
