fairness: order of arrival within a quantum of four sub-requests

Cause: strict start tags order the parts of a query differently at each owner, and a query is as slow as its slowest part.

--- a/src/systems/fair_queue.hpp
+++ b/src/systems/fair_queue.hpp
@@ -94,9 +94,15 @@
     // the same on every machine.
     static constexpr std::uint64_t tick_per_cost = 1U << 20U;
 
+    // Entries whose start tags lie within so many sub-requests are served in
+    // order of arrival. It keeps the parts of a query together at all owners
+    // while their workspace is within its share.
+    static constexpr std::uint64_t quantum = 4 * tick_per_cost;
+
     struct entry
     {
         std::uint64_t start = 0;
+        std::uint64_t arrival = 0;
         time_point deadline;
         Item item;
     };
@@ -108,6 +114,7 @@
     };
     using flows = std::map<workspace_id, flow>;
 
+    static bool goes_before(const entry& a, const entry& b);
     typename flows::iterator next_flow();
     typename flows::iterator fullest_flow();
     void drop_late_heads(flow& f, time_point now, duration work);
@@ -117,6 +124,7 @@
     std::size_t m_limit;
     std::size_t m_size = 0;
     std::uint64_t m_virtual_time = 0;
+    std::uint64_t m_arrivals = 0;
     flows m_flows;
     std::vector<Item> m_late;
 };
@@ -128,7 +136,7 @@
     f.weight = std::max(1U, terms.weight);
     const std::uint64_t start = std::max(m_virtual_time, f.finish);
     f.finish = start + tick_per_cost * terms.cost / f.weight;
-    f.entries.push_back({start, terms.deadline, std::move(item)});
+    f.entries.push_back({start, ++m_arrivals, terms.deadline, std::move(item)});
     ++m_size;
     if (m_size <= m_limit) {
         return std::nullopt;
@@ -194,6 +202,15 @@
     return taken;
 }
 
+template <class Item>
+bool fair_queue<Item>::goes_before(const entry& a, const entry& b)
+{
+    const std::uint64_t a_quantum = a.start / quantum;
+    const std::uint64_t b_quantum = b.start / quantum;
+    return a_quantum != b_quantum ? a_quantum < b_quantum
+                                  : a.arrival < b.arrival;
+}
+
 template <class Item>
 typename fair_queue<Item>::flows::iterator fair_queue<Item>::next_flow()
 {
@@ -202,9 +219,9 @@
         if (it->second.entries.empty()) {
             continue;
         }
-        const std::uint64_t start = it->second.entries.front().start;
         if (best == m_flows.end() ||
-            start < best->second.entries.front().start) {
+            goes_before(it->second.entries.front(),
+                        best->second.entries.front())) {
             best = it;
         }
     }
