--- a/src/systems/query_coordinator.cpp
+++ b/src/systems/query_coordinator.cpp
@@ -499,7 +499,7 @@
 {
     const service_id service = row.request.service;
     const double quantile =
-        hedge_quantile(m_settings->find(service)->extra_percent);
+        hedge_quantile_for(m_settings->find(service)->extra_percent);
     const auto known = m_use.latencies.quantile(service, quantile);
     const duration allowed = row.request.deadline - row.request.arrived;
     return known.value_or(allowed / unknown_latency_divisor);
