--- a/src/systems/lease_candidate.cpp
+++ b/src/systems/lease_candidate.cpp
@@ -272,35 +272,46 @@
     to_ask.push_back(group);
 }
 
-// Under the new membership the asks go to both sets. Witnesses of the old set
-// that have not changed yet grant under the old membership only.
+// After a change, the asks that name the change go to both sets. Witnesses
+// that have not changed yet grant under the old membership only, and those that
+// started since under the new one only.
 void lease_candidate::send_rounds(const std::vector<role_group_id>& groups,
                                   time_point now, outbox& out)
 {
     const role_layout& current = m_members.current();
+    const batches asks = asks_of(groups, current);
+    send_round(asks, current, current.membership(), now, out);
     const role_layout* previous = m_members.previous();
-    batches new_asks;
-    batches old_asks;
-    for (const role_group_id group : groups) {
-        for (const vm_id witness : current.witnesses(group)) {
-            append(new_asks[witness], group);
-        }
-        if (previous == nullptr) {
-            continue;
-        }
-        for (const vm_id witness : previous->witnesses(group)) {
-            append(new_asks[witness], group);
-            append(old_asks[witness], group);
+    if (previous == nullptr) {
+        return;
+    }
+    const batches old_asks = asks_of(groups, *previous);
+    send_round(old_asks, *previous, previous->membership(), now, out);
+    batches both = asks;
+    for (const auto& [witness, asked] : old_asks) {
+        for (const role_group_id group : asked) {
+            append(both[witness], group);
         }
     }
-    send_round(new_asks, current, now, out);
-    if (previous != nullptr) {
-        send_round(old_asks, *previous, now, out);
+    send_round(both, current, m_members.change(), now, out);
+}
+
+lease_candidate::batches
+lease_candidate::asks_of(const std::vector<role_group_id>& groups,
+                         const role_layout& layout) const
+{
+    batches asks;
+    for (const role_group_id group : groups) {
+        for (const vm_id witness : layout.witnesses(group)) {
+            asks[witness].push_back(group);
+        }
     }
+    return asks;
 }
 
 void lease_candidate::send_round(const batches& asks, const role_layout& layout,
-                                 time_point now, outbox& out)
+                                 revision_number membership, time_point now,
+                                 outbox& out)
 {
     if (asks.empty()) {
         return;
@@ -310,9 +321,9 @@
         m_rounds.erase(m_rounds.begin());
     }
     ++m_round;
-    m_rounds[m_round] = {now, layout.membership()};
+    m_rounds[m_round] = {now, membership};
     for (const auto& [witness, groups] : asks) {
-        out.to_peer(witness, lease_ask{m_round, layout.membership(), groups});
+        out.to_peer(witness, lease_ask{m_round, membership, groups});
     }
 }
 
@@ -386,17 +397,19 @@
     const std::vector<vm_id>& set = m_members.current().witnesses(group);
     const time_point end = c.grants.end_in(set, m_policy.majority(set.size()));
     const role_layout* previous = m_members.previous();
-    if (previous == nullptr || !previous->has(group) ||
-        !m_policy.joins_sets()) {
+    if (previous == nullptr || !previous->has(group)) {
         return end;
     }
     const std::vector<vm_id>& old_set = previous->witnesses(group);
     const std::size_t old_majority = m_policy.majority(old_set.size());
     const time_point old_end = c.grants.end_in(old_set, old_majority);
     if (c.at == phase::held && !c.joined && now >= end) {
-        return old_end;
+        return std::min(old_end, m_members.carried_until());
     }
     c.joined = true;
+    if (!m_policy.joins_sets()) {
+        return end;
+    }
     if (c.grants.adopted_in(old_set, old_majority, now)) {
         m_proven.insert(group);
     }
--- a/src/systems/lease_candidate.hpp
+++ b/src/systems/lease_candidate.hpp
@@ -128,15 +128,15 @@
     void send_rounds(const std::vector<role_group_id>& groups, time_point now,
                      outbox& out);
     void send_round(const batches& asks, const role_layout& layout,
-                    time_point now, outbox& out);
+                    revision_number membership, time_point now, outbox& out);
+    batches asks_of(const std::vector<role_group_id>& groups,
+                    const role_layout& layout) const;
     void take_grant(vm_id from, role_group_id group, const round_record* round,
                     std::uint64_t number, time_point now, outbox& out);
     void take_refusal(vm_id from, const group_holder& refusal,
                       std::uint64_t number, time_point now);
     void update(role_group_id group, candidacy& c, time_point now, outbox& out);
     time_point quorum_end(role_group_id group, candidacy& c, time_point now);
-    bool old_set_is_over(role_group_id group, const candidacy& c,
-                         time_point now);
     void give_up(role_group_id group, candidacy& c, time_point now);
     void drop_lapsed(time_point now, outbox& out);
     void drop(role_group_id group, outbox& out);
--- a/src/systems/lease_witness.cpp
+++ b/src/systems/lease_witness.cpp
@@ -11,18 +11,21 @@
 }
 
 lease_grant lease_witness::ask(vm_id from, const lease_ask& message,
-                               const role_layout& layout, time_point now)
+                               const memberships& members, time_point now)
 {
+    const role_layout& layout = members.current();
     lease_grant answer;
     answer.round = message.round;
+    const revision_number asked = message.membership;
+    const bool knows_change = asked.is_set() && asked == members.change();
     const bool comparable =
-        m_policy.same_membership(layout.membership(), message.membership);
+        knows_change || m_policy.same_membership(layout.membership(), asked);
     const bool granting = comparable && !is_young(layout, now);
     for (const role_group_id group : message.groups) {
         if (!layout.has(group)) {
             continue;
         }
-        if (!granting || !may_grant(from, group, now)) {
+        if (!granting || !may_grant(from, group, knows_change, now)) {
             answer.refused.push_back({group, holder(group, now)});
             continue;
         }
@@ -63,18 +66,17 @@
     }
 }
 
-void lease_witness::layout_changed(const role_layout& before,
-                                   const role_layout& after, time_point now)
+void lease_witness::membership_changed(const memberships& members)
 {
-    if (now >= m_moved_until) {
-        m_moved.clear();
-    }
+    const role_layout& before = *members.previous();
+    const role_layout& after = members.current();
+    m_moved.clear();
     for (const role_group_id group : after.map().groups()) {
         if (before.witnesses(group) != after.witnesses(group)) {
             m_moved.insert(group);
         }
     }
-    m_moved_until = now + std::max(before.fleet().lease, after.fleet().lease);
+    m_newcomers_from = members.newcomers_from();
 }
 
 vm_id lease_witness::holder(role_group_id group, time_point now) const
@@ -110,13 +112,17 @@
     return m_entries.size();
 }
 
+// A VM that knows both sets asks both, so it cannot pass by a holder that
+// rests on the old one. A VM that started after the change knows the new set
+// only and has to wait until no lease rests on the old set alone.
 bool lease_witness::may_grant(vm_id from, role_group_id group,
-                              time_point now) const
+                              bool knows_change, time_point now) const
 {
     const auto found = m_entries.find(group);
     const bool free = found == m_entries.end() || now >= found->second.until;
     if (free) {
-        return now >= m_moved_until || m_moved.count(group) == 0;
+        return knows_change || now >= m_newcomers_from ||
+               m_moved.count(group) == 0;
     }
     return !found->second.former &&
            !m_policy.keeps_out(found->second.holder, from);
--- a/src/systems/lease_witness.hpp
+++ b/src/systems/lease_witness.hpp
@@ -4,7 +4,7 @@
 #include "core/messages.hpp"
 #include "core/node_identity.hpp"
 #include "systems/lease_policy.hpp"
-#include "systems/role_layout.hpp"
+#include "systems/memberships.hpp"
 
 #include <unordered_map>
 #include <unordered_set>
@@ -21,9 +21,9 @@
 public:
     lease_witness(const node_identity& self, const lease_policy& policy);
 
-    /** Answers an ask under the present layout. */
+    /** Answers an ask under the membership in force. */
     lease_grant ask(vm_id from, const lease_ask& message,
-                    const role_layout& layout, time_point now);
+                    const memberships& members, time_point now);
 
     /** Ends the leases that the sender gave up. */
     void release(vm_id from, const lease_release& message);
@@ -32,11 +32,10 @@
     void peer_restarted(vm_id vm);
 
     /**
-     * Takes a new membership: for one lease, groups whose witness set changed
-     * go to nobody but their present holders.
+     * Takes a change of membership. Groups whose witness set changed then go
+     * for some time only to VMs that know the change.
      */
-    void layout_changed(const role_layout& before, const role_layout& after,
-                        time_point now);
+    void membership_changed(const memberships& members);
 
     /** Returns the VM that holds the grant; unset when nobody does. */
     vm_id holder(role_group_id group, time_point now) const;
@@ -60,13 +59,14 @@
         bool former = false;
     };
 
-    bool may_grant(vm_id from, role_group_id group, time_point now) const;
+    bool may_grant(vm_id from, role_group_id group, bool knows_change,
+                   time_point now) const;
 
     node_identity m_self;
     const lease_policy& m_policy;
     std::unordered_map<role_group_id, entry> m_entries;
     std::unordered_set<role_group_id> m_moved;
-    time_point m_moved_until;
+    time_point m_newcomers_from;
 };
 
 } // namespace cranberrywood
--- a/src/systems/memberships.hpp
+++ b/src/systems/memberships.hpp
@@ -27,6 +27,24 @@
         return m_previous.get();
     }
 
+    /**
+     * Returns the membership that names the change itself: only a VM that
+     * knows both sides can ask for it. Unset when no change is under way.
+     */
+    revision_number change() const;
+
+    /** Returns the end of leases that rest on the previous set alone. */
+    time_point carried_until() const
+    {
+        return m_carried_until;
+    }
+
+    /** Returns when VMs that don't know the change may acquire. */
+    time_point newcomers_from() const
+    {
+        return m_newcomers_from;
+    }
+
     /** Takes a settings revision; returns whether the membership changed. */
     bool take(std::shared_ptr<const settings_index> settings, time_point now);
 
@@ -39,6 +57,8 @@
 private:
     std::unique_ptr<role_layout> m_current;
     std::unique_ptr<role_layout> m_previous;
+    time_point m_carried_until;
+    time_point m_newcomers_from;
     time_point m_previous_until;
 };
 
--- a/src/systems/peer_sessions.cpp
+++ b/src/systems/peer_sessions.cpp
@@ -11,7 +11,7 @@
 
 // Envelopes from a process taken for dead, with none from its successor
 // between them, that show that the two arrived in the wrong order.
-constexpr std::uint32_t envelopes_to_revive = 32;
+constexpr std::uint32_t envelopes_to_revive = 8;
 
 } // namespace
 
@@ -49,6 +49,11 @@
     if (addressed && envelope.to_incarnation != m_self.process) {
         ++m_drops.misaddressed;
         m_misaddressed.push_back(envelope.from);
+        // Two processes that take each other's predecessor for present send
+        // nothing but this kind; it has to tell that the sender lives.
+        if (find_dead(envelope.from, envelope.from_incarnation) != nullptr) {
+            admit_process(envelope.from, m_sessions[envelope.from], envelope);
+        }
         return false;
     }
     session& peer = m_sessions[envelope.from];
@@ -87,16 +92,28 @@
         }
         return true;
     }
-    const auto dead = std::find_if(
-        peer.dead.begin(), peer.dead.end(),
-        [process](const dead_process& d) { return d.process == process; });
-    if (dead != peer.dead.end()) {
+    if (dead_process* dead = find_dead(from, process)) {
         return admit_dead(from, peer, *dead, envelope.sequence);
     }
     replace(from, peer, process);
     return true;
 }
 
+peer_sessions::dead_process* peer_sessions::find_dead(vm_id from,
+                                                      incarnation process)
+{
+    const auto peer = m_sessions.find(from);
+    if (peer == m_sessions.end()) {
+        return nullptr;
+    }
+    for (dead_process& dead : peer->second.dead) {
+        if (dead.process == process) {
+            return &dead;
+        }
+    }
+    return nullptr;
+}
+
 // Incarnations have no order. When a young process first hears the successor
 // and then an envelope of the predecessor that was under way for long, it
 // takes the successor for dead. The successor goes on sending while the other
--- a/src/systems/peer_sessions.hpp
+++ b/src/systems/peer_sessions.hpp
@@ -84,6 +84,7 @@
 
     bool admit_process(vm_id from, session& peer,
                        const peer_envelope& envelope);
+    dead_process* find_dead(vm_id from, incarnation process);
     bool admit_dead(vm_id from, session& peer, dead_process& dead,
                     std::uint64_t sequence);
     void replace(vm_id from, session& peer, incarnation process);
--- a/src/systems/role_layout.cpp
+++ b/src/systems/role_layout.cpp
@@ -51,6 +51,7 @@
     for (const role_group_id group : m_map.groups()) {
         group_sets& sets = m_groups[group];
         sets.witnesses = m_map.witnesses(group);
+        sets.witnesses.shrink_to_fit();
         const std::vector<vm_id> ranked = m_map.candidates(group);
         const std::size_t kept = std::min(ranked.size(), near_candidates);
         sets.candidates.assign(
--- a/src/systems/role_leases.cpp
+++ b/src/systems/role_leases.cpp
@@ -34,8 +34,7 @@
     if (!m_members.take(std::move(settings), now) || first) {
         return;
     }
-    const role_layout& before = *m_members.previous();
-    m_witness.layout_changed(before, m_members.current(), now);
+    m_witness.membership_changed(m_members);
     m_candidate.membership_changed(now, out);
     out.log(log_code::membership_changed,
             "membership=" +
@@ -52,8 +51,7 @@
 {
     m_now = now;
     if (m_members.known()) {
-        out.to_peer(from,
-                    m_witness.ask(from, message, m_members.current(), now));
+        out.to_peer(from, m_witness.ask(from, message, m_members, now));
     }
 }
 
--- a/src/tests/peer_sessions_test.cpp
+++ b/src/tests/peer_sessions_test.cpp
@@ -114,6 +114,26 @@
     CHECK_FALSE(accepts(20, 8));
 }
 
+TEST(peer_sessions, processes_that_misjudge_each_other_find_back)
+{
+    peer_sessions other{identity(there, 21)};
+    CHECK(accepts(21, 1));
+    CHECK(accepts(20, 1));
+    peer_envelope e = envelope_of(10, 1);
+    e.from = here;
+    e.to_incarnation = incarnation(21);
+    CHECK(other.accept(e));
+    e.from_incarnation = incarnation(9);
+    CHECK(other.accept(e));
+    bool reached = false;
+    for (int i = 0; i < 100 && !reached; ++i) {
+        sessions.accept(*other.wrap(here, role_wish{}));
+        reached = other.accept(*sessions.wrap(there, role_wish{}));
+    }
+    CHECK(reached);
+    CHECK(sessions.accept(*other.wrap(here, role_wish{})));
+}
+
 TEST(peer_sessions, dead_processes_are_remembered_up_to_a_bound)
 {
     for (std::uint64_t process = 20; process < 29; ++process) {
