--- a/src/systems/lease_candidate.cpp
+++ b/src/systems/lease_candidate.cpp
@@ -31,7 +31,7 @@
                                  const memberships& members,
                                  const lease_policy& policy)
     : m_self(self), m_random(random), m_preference(preference),
-      m_members(members), m_policy(policy)
+      m_members(members), m_policy(policy), m_rounds(members)
 {
 }
 
@@ -79,9 +79,7 @@
                               time_point now, outbox& out)
 {
     drop_lapsed(now, out);
-    const auto found = m_rounds.find(message.round);
-    const round_record* round =
-        found == m_rounds.end() ? nullptr : &found->second;
+    const lease_rounds::record* round = m_rounds.find(message.round);
     for (const role_group_id group : message.granted) {
         take_grant(from, group, round, message.round, now, out);
     }
@@ -175,7 +173,7 @@
     std::vector<role_group_id> to_ask;
     run_due(now, to_ask);
     flush(out);
-    send_rounds(to_ask, now, out);
+    m_rounds.send(to_ask, now, out);
     schedule(now);
 }
 
@@ -264,7 +262,7 @@
     c.at = phase::asking;
     c.asked = now;
     c.wish_to = vm_id();
-    c.first_round = m_round + 1;
+    c.first_round = m_rounds.last() + 1;
     c.grants = grant_quorum();
     c.refusers.clear();
     c.named = vm_id();
@@ -272,64 +270,9 @@
     to_ask.push_back(group);
 }
 
-// After a change, the asks that name the change go to both sets. Witnesses
-// that have not changed yet grant under the old membership only, and those that
-// started since under the new one only.
-void lease_candidate::send_rounds(const std::vector<role_group_id>& groups,
-                                  time_point now, outbox& out)
-{
-    const role_layout& current = m_members.current();
-    const batches asks = asks_of(groups, current);
-    send_round(asks, current, current.membership(), now, out);
-    const role_layout* previous = m_members.previous();
-    if (previous == nullptr) {
-        return;
-    }
-    const batches old_asks = asks_of(groups, *previous);
-    send_round(old_asks, *previous, previous->membership(), now, out);
-    batches both = asks;
-    for (const auto& [witness, asked] : old_asks) {
-        for (const role_group_id group : asked) {
-            append(both[witness], group);
-        }
-    }
-    send_round(both, current, m_members.change(), now, out);
-}
-
-lease_candidate::batches
-lease_candidate::asks_of(const std::vector<role_group_id>& groups,
-                         const role_layout& layout) const
-{
-    batches asks;
-    for (const role_group_id group : groups) {
-        for (const vm_id witness : layout.witnesses(group)) {
-            asks[witness].push_back(group);
-        }
-    }
-    return asks;
-}
-
-void lease_candidate::send_round(const batches& asks, const role_layout& layout,
-                                 revision_number membership, time_point now,
-                                 outbox& out)
-{
-    if (asks.empty()) {
-        return;
-    }
-    while (!m_rounds.empty() &&
-           now - m_rounds.begin()->second.sent > layout.fleet().lease) {
-        m_rounds.erase(m_rounds.begin());
-    }
-    ++m_round;
-    m_rounds[m_round] = {now, membership};
-    for (const auto& [witness, groups] : asks) {
-        out.to_peer(witness, lease_ask{m_round, membership, groups});
-    }
-}
-
 // A grant that is not counted is given back, or it would keep others out.
 void lease_candidate::take_grant(vm_id from, role_group_id group,
-                                 const round_record* round,
+                                 const lease_rounds::record* round,
                                  std::uint64_t number, time_point now,
                                  outbox& out)
 {
@@ -385,7 +328,7 @@
                 "group=" + std::to_string(group.value()));
     }
     if (c.at == phase::held && now >= c.end) {
-        lose(group, out);
+        drop(group, out);
     }
 }
 
@@ -445,7 +388,7 @@
         const role_group_id group = it->first;
         const candidacy& c = (it++)->second;
         if (c.at == phase::held && now >= c.end) {
-            lose(group, out);
+            drop(group, out);
         }
     }
 }
@@ -453,21 +396,13 @@
 void lease_candidate::drop(role_group_id group, outbox& out)
 {
     const auto found = m_candidacies.find(group);
+    return_grants(group, found->second);
     if (found->second.at == phase::held) {
-        lose(group, out);
-        return;
+        m_changes.push_back({group, kind::lost});
+        out.log(log_code::lease_lapsed,
+                "group=" + std::to_string(group.value()));
     }
-    return_grants(group, found->second);
-    m_candidacies.erase(found);
-}
-
-void lease_candidate::lose(role_group_id group, outbox& out)
-{
-    const auto found = m_candidacies.find(group);
-    return_grants(group, found->second);
     m_candidacies.erase(found);
-    m_changes.push_back({group, kind::lost});
-    out.log(log_code::lease_lapsed, "group=" + std::to_string(group.value()));
 }
 
 void lease_candidate::return_grants(role_group_id group, const candidacy& c)
@@ -482,7 +417,7 @@
 void lease_candidate::flush(outbox& out)
 {
     for (auto& [witness, groups] : std::exchange(m_releases, {})) {
-        out.to_peer(witness, lease_release{groups, m_round});
+        out.to_peer(witness, lease_release{groups, m_rounds.last()});
     }
     for (auto& [holder, groups] : std::exchange(m_wishes, {})) {
         out.to_peer(holder, role_wish{groups});
--- a/src/systems/lease_candidate.hpp
+++ b/src/systems/lease_candidate.hpp
@@ -6,6 +6,7 @@
 #include "core/random_source.hpp"
 #include "systems/grant_quorum.hpp"
 #include "systems/lease_policy.hpp"
+#include "systems/lease_rounds.hpp"
 #include "systems/memberships.hpp"
 #include "systems/role_preference.hpp"
 
@@ -111,12 +112,6 @@
         time_point wished_since;
     };
 
-    struct round_record
-    {
-        time_point sent;
-        revision_number membership;
-    };
-
     using candidacies = std::map<role_group_id, candidacy>;
     using batches = std::map<vm_id, std::vector<role_group_id>>;
 
@@ -125,14 +120,9 @@
     void run_due(time_point now, std::vector<role_group_id>& to_ask);
     void start_attempt(role_group_id group, candidacy& c, time_point now,
                        std::vector<role_group_id>& to_ask);
-    void send_rounds(const std::vector<role_group_id>& groups, time_point now,
-                     outbox& out);
-    void send_round(const batches& asks, const role_layout& layout,
-                    revision_number membership, time_point now, outbox& out);
-    batches asks_of(const std::vector<role_group_id>& groups,
-                    const role_layout& layout) const;
-    void take_grant(vm_id from, role_group_id group, const round_record* round,
-                    std::uint64_t number, time_point now, outbox& out);
+    void take_grant(vm_id from, role_group_id group,
+                    const lease_rounds::record* round, std::uint64_t number,
+                    time_point now, outbox& out);
     void take_refusal(vm_id from, const group_holder& refusal,
                       std::uint64_t number, time_point now);
     void update(role_group_id group, candidacy& c, time_point now, outbox& out);
@@ -140,7 +130,6 @@
     void give_up(role_group_id group, candidacy& c, time_point now);
     void drop_lapsed(time_point now, outbox& out);
     void drop(role_group_id group, outbox& out);
-    void lose(role_group_id group, outbox& out);
     void return_grants(role_group_id group, const candidacy& c);
     void flush(outbox& out);
     void schedule(time_point now);
@@ -154,8 +143,7 @@
     const lease_policy& m_policy;
 
     candidacies m_candidacies;
-    std::map<std::uint64_t, round_record> m_rounds;
-    std::uint64_t m_round = 0;
+    lease_rounds m_rounds;
     batches m_releases;
     batches m_wishes;
     std::unordered_set<role_group_id> m_proven;
