--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -48,20 +48,20 @@
 {
     m_callers.add(e.token, {{}, id_of<service_id>(e.service), now});
     if (const auto closed = closed_to(e, now)) {
-        m_admission.count_and_refuse(e.token, *closed, m_out);
+        m_admission.refuse(e.token, e.is_lookup(), *closed, m_out);
         return;
     }
     auto checked = check_request(e, *m_settings, m_rights, now);
     if (const auto* error = std::get_if<error_detail>(&checked)) {
-        m_admission.count_and_refuse(e.token, *error, m_out);
+        m_admission.refuse(e.token, e.is_lookup(), *error, m_out);
         return;
     }
     auto& request = std::get<admitted_request>(checked);
     m_callers.identify(e.token, request.rights.workspace);
     if (m_quarantine.check(request.print, now) == quarantine_verdict::refused) {
-        m_admission.count_and_refuse(
-            e.token, {step::quarantine, reason::quarantined, {}, {}, {}},
-            m_out);
+        m_admission.refuse(e.token, e.is_lookup(),
+                           {step::quarantine, reason::quarantined, {}, {}, {}},
+                           m_out);
         return;
     }
     m_admission.accept(std::move(request), now, m_out);
--- a/src/systems/admission.cpp
+++ b/src/systems/admission.cpp
@@ -29,20 +29,18 @@
     m_settings = std::move(settings);
 }
 
-void admission::refuse(caller_token token, error_detail error, outbox& out)
+void admission::refuse(caller_token token, bool is_lookup, error_detail error,
+                       outbox& out)
 {
-    const sent_nothing proof;
+    ++m_refusals[error.why];
+    sent_nothing proof;
+    if (is_lookup) {
+        proof.send();
+    }
     out.issue(
         answer_caller{token, to_response(proof.refuse(std::move(error)))});
 }
 
-void admission::count_and_refuse(caller_token token, error_detail error,
-                                 outbox& out)
-{
-    ++m_refusals[error.why];
-    refuse(token, std::move(error), out);
-}
-
 void admission::accept(admitted_request request, time_point now, outbox& out)
 {
     const workspace_id workspace = request.rights.workspace;
@@ -79,15 +77,14 @@
             enqueue(std::move(waiting.mapped()), out);
             continue;
         }
-        count_and_refuse(
-            decision.ticket,
-            {step::rate, reason::over_rate, decision.refused_at, {}, {}}, out);
+        refuse(decision.ticket, waiting.mapped().lookup.has_value(),
+               {step::rate, reason::over_rate, decision.refused_at, {}, {}},
+               out);
     }
     m_queue.drop_late(now, least_work);
     for (const admitted_request& late : m_queue.take_late()) {
-        count_and_refuse(late.token,
-                         {step::queue, reason::deadline_passed, {}, {}, {}},
-                         out);
+        refuse(late.token, late.lookup.has_value(),
+               {step::queue, reason::deadline_passed, {}, {}, {}}, out);
     }
 }
 
@@ -106,8 +103,8 @@
     terms.deadline = request.deadline;
     const auto pushed_out = m_queue.push(terms, std::move(request));
     if (pushed_out) {
-        count_and_refuse(pushed_out->token,
-                         {step::queue, reason::overloaded, {}, {}, {}}, out);
+        refuse(pushed_out->token, pushed_out->lookup.has_value(),
+               {step::queue, reason::overloaded, {}, {}, {}}, out);
     }
 }
 
@@ -119,7 +116,7 @@
         if (!refused) {
             return request;
         }
-        count_and_refuse(request->token, *refused, out);
+        refuse(request->token, request->lookup.has_value(), *refused, out);
     }
     return std::nullopt;
 }
--- a/src/systems/admission.hpp
+++ b/src/systems/admission.hpp
@@ -12,7 +12,7 @@
 
 /**
  * Brings checked requests through the workspace's rate and the fair queue of
- * this VM. Every refusal here is a not_run: nothing has been sent yet.
+ * this VM. Nothing of a request is sent before it has passed here.
  */
 class admission
 {
@@ -44,17 +44,18 @@
         return m_waiting_for_tokens.size() + m_queue.size();
     }
 
-    /** Tells the caller that nothing of the request was run. */
-    static void refuse(caller_token token, error_detail error, outbox& out);
-
     /** Refusals since the start, by reason. */
     const std::map<reason, std::uint64_t>& refusals() const
     {
         return m_refusals;
     }
 
-    /** Counts a refusal and tells the caller. */
-    void count_and_refuse(caller_token token, error_detail error, outbox& out);
+    /**
+     * Counts a refusal and tells the caller: not_run for a query; for a
+     * lookup outcome_unknown, as its id may have run through another VM.
+     */
+    void refuse(caller_token token, bool is_lookup, error_detail error,
+                outbox& out);
 
 private:
     void enqueue(admitted_request request, outbox& out);
--- a/src/systems/owner_sends.hpp
+++ b/src/systems/owner_sends.hpp
@@ -18,9 +18,12 @@
                                                  const shard_ask& ask,
                                                  time_point now) const = 0;
     /** Returns whether a request may run at a server beside others. */
-    virtual bool may_share(fingerprint print,
-                           const std::vector<fingerprint>& others,
-                           time_point now) const = 0;
+    virtual bool may_share(fingerprint /*print*/,
+                           const std::vector<fingerprint>& /*others*/,
+                           time_point /*now*/) const
+    {
+        return true;
+    }
 };
 
 /** Counts of what the owner side did and dropped, since the start. */
