--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -319,9 +319,6 @@
     m_levels.settings_changed(m_settings);
     m_duties.settings_changed(now, m_out);
     m_out.issue(settings_accepted{m_settings});
-    const auto revision = m_settings->all().revision.value();
-    m_out.log(log_code::revision_accepted,
-              "revision=" + std::to_string(revision));
 }
 
 void node_parts::start_admitted(time_point now)
