--- a/tools/quickstart.sh
+++ b/tools/quickstart.sh
@@ -7,7 +7,7 @@
 build=${CRANBERRYWOOD_BUILD:-build}
 cmake -S . -B "$build" -DCMAKE_BUILD_TYPE=Release >/dev/null
 cmake --build "$build" -j"${CRANBERRYWOOD_JOBS:-$(nproc)}" \
-  --target cranberrywoodd platform_standin
+  --target cranberrywoodd cranberrywoodctl platform_standin
 
 FLEET_PLATFORM_PORT=20080
 FLEET_FOLDER=$(mktemp -d)
@@ -32,3 +32,11 @@
 echo "$(wc -l <"$FLEET_FOLDER/vms") VMs are ready; the first answer:"
 echo "$answer"
 [[ $answer == *'"answered"'* ]]
+
+ctl="$build/src/cranberrywoodctl/cranberrywoodctl"
+mapfile -t vms < <(awk '{ print $2 ":" $3 }' "$FLEET_FOLDER/vms")
+echo "A short open-loop load through all VMs:"
+CRANBERRYWOOD_KEY=key-dispatch-desk "$ctl" load --service dispatch \
+  --rate "${CRANBERRYWOOD_RATE:-100}" --seconds "${CRANBERRYWOOD_SECONDS:-10}" \
+  "${vms[@]}"
+"$ctl" burn "${vms[@]}"
