--- a/src/systems/hit_merge.cpp
+++ b/src/systems/hit_merge.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <unordered_set>
 
 namespace cranberrywood {
 
@@ -15,16 +14,24 @@
 
 } // namespace
 
+// Hits of one index version that have the same key have the same score, so
+// repeated ones are neighbours once they are in order.
 void merge_hits(std::vector<hit>& into, std::vector<hit> more,
                 std::size_t limit)
 {
+    std::sort(more.begin(), more.end(), ranks_before);
+    const bool full = into.size() >= limit;
+    if (full && (more.empty() || !ranks_before(more.front(), into.back()))) {
+        return;
+    }
+    const auto kept = static_cast<std::ptrdiff_t>(into.size());
     std::move(more.begin(), more.end(), std::back_inserter(into));
-    std::sort(into.begin(), into.end(), ranks_before);
-    std::unordered_set<std::string> seen;
-    const auto repeated = [&seen](const hit& h) {
-        return !seen.insert(h.key).second;
+    std::inplace_merge(into.begin(), into.begin() + kept, into.end(),
+                       ranks_before);
+    const auto repeated = [](const hit& a, const hit& b) {
+        return a.key == b.key;
     };
-    into.erase(std::remove_if(into.begin(), into.end(), repeated), into.end());
+    into.erase(std::unique(into.begin(), into.end(), repeated), into.end());
     if (into.size() > limit) {
         into.resize(limit);
     }
