--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -476,9 +476,9 @@
     s.groups_held = static_cast<std::uint32_t>(m_duties.held());
     s.requests_in_flight = static_cast<std::uint32_t>(in_flight());
     s.levels = m_levels.report(now);
-    s.counters["first_sends"] = m_queries.counted().first_sends;
-    s.counters["hedges"] = m_queries.counted().hedges;
-    s.counters["retries"] = m_queries.counted().retries;
+    s.counters["first_sends"] = m_queries.sends().first_sends;
+    s.counters["hedges"] = m_queries.sends().hedges;
+    s.counters["retries"] = m_queries.sends().retries;
     s.counters["restarts"] = m_queries.counted().restarts;
     s.counters["late_replies"] = m_queries.counted().late_replies;
     s.counters["backend_sends"] = m_dispatch.counts().sent;
--- a/src/systems/query_coordinator.hpp
+++ b/src/systems/query_coordinator.hpp
@@ -1,16 +1,9 @@
 #ifndef CRANBERRYWOOD_SYSTEMS_QUERY_COORDINATOR_HPP
 #define CRANBERRYWOOD_SYSTEMS_QUERY_COORDINATOR_HPP
 
-#include "core/node_identity.hpp"
-#include "core/outbox.hpp"
-#include "systems/extra_budget.hpp"
-#include "systems/latency_estimate.hpp"
-#include "systems/repeat_gate.hpp"
-#include "systems/shard_router.hpp"
+#include "systems/query_sender.hpp"
 #include "tables/due_queue.hpp"
 
-#include <map>
-
 namespace cranberrywood {
 
 /**
@@ -21,20 +14,8 @@
 class query_coordinator
 {
 public:
-    /** Parts that decide where and when to send; they outlive this object. */
-    struct policies
-    {
-        role_view& roles;
-        const rights_check& rights;
-        repeat_gate& repeats;
-        latency_estimate& latencies;
-        extra_budget& budget;
-        replica_choice& replicas;
-        version_pins& pins;
-    };
-
     query_coordinator(const node_identity& self, random_source& random,
-                      policies use);
+                      const query_policies& use);
 
     /** Puts a settings revision in force for all further sends. */
     void settings_changed(std::shared_ptr<const settings_index> settings);
@@ -61,12 +42,9 @@
         return m_queries.size();
     }
 
-    /** Counts of sends since the start, for metrics. */
+    /** Counts since the start, for metrics. */
     struct counts
     {
-        std::uint64_t first_sends = 0;
-        std::uint64_t hedges = 0;
-        std::uint64_t retries = 0;
         std::uint64_t restarts = 0;
         std::uint64_t late_replies = 0;
         std::uint64_t wrong_version_replies = 0;
@@ -75,35 +53,17 @@
     {
         return m_counts;
     }
-
-private:
-    using send_batch = std::map<vm_id, std::vector<shard_ask>>;
-    enum class purpose : std::uint8_t
+    const send_counts& sends() const
     {
-        first,
-        hedge,
-        retry
-    };
+        return m_sender.counted();
+    }
 
+private:
     void pin(query_row& row);
-    void count_first_sends(const query_row& row, std::size_t sends);
-    void send_first(query_row& row, time_point now, outbox& out);
-    bool attempt(query_row& row, std::size_t shard, purpose why, time_point now,
-                 send_batch& batch);
-    void flush(query_row& row, const send_batch& batch, time_point now,
-               outbox& out);
     void apply(query_row& row, const shard_result& result, time_point now);
     void plan_retry(query_row& row, query_shard_row& shard,
                     const shard_result& result, time_point now);
     static void cover(query_row& row, query_shard_row& shard);
-    void learn_owner(query_shard_row& shard, const shard_result& result);
-    void send_retry(query_row& row, std::size_t shard, time_point now,
-                    send_batch& batch);
-    void send_hedge(query_row& row, std::size_t shard, time_point now,
-                    send_batch& batch);
-    static bool is_straggling(const query_shard_row& shard,
-                              time_point sent_before);
-    void send_due(query_row& row, time_point now, outbox& out);
     void progress(query_row& row, time_point now, outbox& out);
     bool can_still_gain(const query_row& row) const;
     bool restart_on_newer(query_row& row, time_point now, outbox& out);
@@ -112,17 +72,14 @@
                 outbox& out);
     void cancel_open(const query_row& row, time_point now, outbox& out);
     void finish(const query_row& row);
-    void schedule(const query_row& row, time_point now);
-    duration hedge_delay(const query_row& row) const;
 
     node_identity m_self;
-    policies m_use;
-    shard_router m_router;
+    query_policies m_use;
+    query_sender m_sender;
     std::shared_ptr<const settings_index> m_settings;
     query_table m_queries;
     due_queue<query_id> m_due;
     std::uint64_t m_next_query = 1;
-    std::uint64_t m_next_sub_request = 1;
     counts m_counts;
 };
 
