--- a/src/tests/randomised/random_run.cpp
+++ b/src/tests/randomised/random_run.cpp
@@ -3,7 +3,7 @@
 #include "settings/settings_reader.hpp"
 
 #include <algorithm>
-#include <functional>
+#include <deque>
 
 namespace cranberrywood::randomised {
 
@@ -20,6 +20,8 @@
 constexpr duration readable_for = 3s;
 constexpr std::uint64_t faults_per_thousand_steps = 30;
 constexpr std::size_t poison_limit = 2;
+/** Lookups of which one may be sent again. */
+constexpr std::size_t resent_lookups = 30;
 
 std::string body_of(const std::string& workspace, std::uint64_t number)
 {
@@ -55,6 +57,13 @@
     }
 
 private:
+    /** A lookup that may be sent again. */
+    struct sent_lookup
+    {
+        std::string workspace;
+        std::string id;
+    };
+
     static fakes::sample_shape shape()
     {
         fakes::sample_shape s;
@@ -85,8 +94,12 @@
         return m_random.below(m_fleet.vm_count());
     }
 
+    // The first workspace asks for more than its rate.
     std::string any_workspace()
     {
+        if (m_random.below(2) == 0) {
+            return "w0";
+        }
         return "w" + std::to_string(m_random.below(m_facts.shape.workspaces));
     }
 
@@ -107,17 +120,19 @@
         }
     }
 
-    // Half of the lookups are resends of a recent id through any VM.
+    // Half of the lookups are resends of a recent one through any VM.
     void send_lookup(const std::string& workspace)
     {
-        std::uint64_t number = m_next_body;
-        if (m_random.below(2) == 0 && m_next_body > 20) {
-            number = m_next_body - m_random.below(20);
+        sent_lookup next{workspace, "id-" + std::to_string(m_next_body++)};
+        if (!m_lookups.empty() && m_random.below(2) == 0) {
+            next = m_lookups[m_random.below(m_lookups.size())];
+        }
+        m_lookups.push_back(next);
+        if (m_lookups.size() > resent_lookups) {
+            m_lookups.pop_front();
         }
-        m_next_body = std::max(m_next_body, number) + 1;
-        const std::string id = "id-" + std::to_string(number);
-        const std::string body = workspace + "#" + id;
-        m_fleet.lookup(any_vm(), workspace, id, body, 320ms);
+        const std::string body = next.workspace + "#" + next.id;
+        m_fleet.lookup(any_vm(), next.workspace, next.id, body, 320ms);
     }
 
     void inject_fault()
@@ -370,6 +385,7 @@
     fakes::fake_fleet m_fleet;
     std::vector<backend_server_id> m_servers;
     std::uint64_t m_next_body = 1;
+    std::deque<sent_lookup> m_lookups;
     revision_number m_revision{1};
     std::uint64_t m_index = 1;
     bool m_platform_up = true;
