--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -343,6 +343,15 @@
         m_quarantine.server_died(death.backend_server, death.in_flight, now,
                                  m_out);
     }
+    // A server that kept its process died of nothing: only its link was lost.
+    for (const server_death& survival : m_dispatch.take_survivals()) {
+        const auto* server = m_settings->find(survival.backend_server);
+        for (const request_at_death& request : survival.in_flight) {
+            if (server != nullptr) {
+                m_quarantine.completed(request.print, server->shard);
+            }
+        }
+    }
     for (const completed_part& part : m_dispatch.take_completed()) {
         m_quarantine.completed(part.print, part.shard);
     }
