--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -28,8 +28,8 @@
 } // namespace
 
 caller_server::caller_server(std::size_t threads, std::size_t queue_limit,
-                             std::string refusal_json, refusal_handler refused)
-    : m_refusal_json(std::move(refusal_json)), m_refused(std::move(refused))
+                             refusal_json json, refusal_handler refused)
+    : m_refusal_json(std::move(json)), m_refused(std::move(refused))
 {
     // The library owns and deletes the queue.
     new_task_queue = [this, threads, queue_limit] {
@@ -103,11 +103,14 @@
 void caller_server::refuse(int socket) const
 {
     const caller_stream stream(socket, m_limits);
+    std::string discarded;
     if (stream.wait_readable(refusal_wait)) {
-        std::string discarded(refusal_read_bytes, '\0');
-        ::recv(socket, discarded.data(), discarded.size(), MSG_DONTWAIT);
+        discarded.resize(refusal_read_bytes);
+        const ssize_t read =
+            ::recv(socket, discarded.data(), discarded.size(), MSG_DONTWAIT);
+        discarded.resize(read > 0 ? static_cast<std::size_t>(read) : 0);
     }
-    const std::string text = refusal_text(m_refusal_json);
+    const std::string text = refusal_text(m_refusal_json(discarded));
     ::send(socket, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
--- a/src/io/caller_server.hpp
+++ b/src/io/caller_server.hpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <httplib.h>
+#include <string_view>
 
 namespace cranberrywood {
 
@@ -20,8 +21,11 @@
     /** Called for each connection that is refused for want of room. */
     using refusal_handler = std::function<void()>;
 
+    /** Returns the refusal for a request, given the start of its bytes. */
+    using refusal_json = std::function<std::string(std::string_view)>;
+
     caller_server(std::size_t threads, std::size_t queue_limit,
-                  std::string refusal_json, refusal_handler refused);
+                  refusal_json json, refusal_handler refused);
 
     /** Answers from now on end their connections. */
     void close_after_answers();
@@ -38,7 +42,7 @@
     bool wait_for_request(const caller_stream& stream) const;
     void refuse(int socket) const;
 
-    const std::string m_refusal_json;
+    const refusal_json m_refusal_json;
     const refusal_handler m_refused;
     const caller_limits m_limits;
     std::atomic<bool> m_closing{false};
--- a/src/io/http_front.cpp
+++ b/src/io/http_front.cpp
@@ -16,10 +16,19 @@
 /** Age of the node's status above which the process counts as stuck. */
 constexpr duration max_status_age = std::chrono::seconds(2);
 
-std::string no_room_json()
+constexpr std::string_view method_prefix = "POST ";
+
+/** Refusal for a connection of whose request only the start was read. */
+std::string no_room_json(std::string_view request_start)
 {
+    std::optional<request_kind> kind;
+    if (request_start.substr(0, method_prefix.size()) == method_prefix) {
+        const std::string_view rest =
+            request_start.substr(method_prefix.size());
+        kind = kind_of_target(rest.substr(0, rest.find(' ')));
+    }
     return refusal_at_front(503, reason::overloaded, "",
-                            "waits behind too many others")
+                            "waits behind too many others", kind)
         .json;
 }
 
@@ -55,7 +64,7 @@
                        metrics& counts, event_sink to_node)
     : m_listen(settings.http), m_state(state), m_clock(time), m_metrics(counts),
       m_to_node(std::move(to_node)),
-      m_server(settings.http_threads, settings.http_queue, no_room_json(),
+      m_server(settings.http_threads, settings.http_queue, no_room_json,
                [&counts] { counts.callers_refused.Increment(); })
 {
     m_server.set_payload_max_length(max_request_bytes);
@@ -69,10 +78,10 @@
 
 void http_front::add_routes()
 {
-    m_server.Post("/v1/query", [this](const request& from, reply& to) {
+    m_server.Post(query_target, [this](const request& from, reply& to) {
         serve(from, to, request_kind::query);
     });
-    m_server.Post("/v1/lookup", [this](const request& from, reply& to) {
+    m_server.Post(lookup_target, [this](const request& from, reply& to) {
         serve(from, to, request_kind::lookup);
     });
     m_server.Get("/healthz", [this](const request&, reply& to) { health(to); });
@@ -120,7 +129,7 @@
     http_answer answer;
     if (const auto* fault = std::get_if<request_fault>(&read)) {
         answer = refusal_at_front(status_of(fault->why), fault->why,
-                                  fault->field, fault->what);
+                                  fault->field, fault->what, kind);
     } else {
         auto& asked = std::get<caller_request>(read);
         asked.key = from.get_header_value(key_header);
@@ -198,11 +207,12 @@
 }
 
 // The library answers some faults by itself and leaves the body empty.
-void http_front::complete_error(const request& /*from*/, reply& to)
+void http_front::complete_error(const request& from, reply& to)
 {
     if (to.body.empty()) {
         write_answer(refusal_at_front(to.status, reason_of_status(to.status),
-                                      "", what_of_status(to.status)),
+                                      "", what_of_status(to.status),
+                                      kind_of_target(from.path)),
                      to);
     }
 }
--- a/src/io/request_json.hpp
+++ b/src/io/request_json.hpp
@@ -16,6 +16,9 @@
     std::string what;
 };
 
+constexpr const char* query_target = "/v1/query";
+constexpr const char* lookup_target = "/v1/lookup";
+
 /** The two routes for requests. */
 enum class request_kind : std::uint8_t
 {
--- a/src/io/response_json.cpp
+++ b/src/io/response_json.cpp
@@ -135,10 +135,24 @@
     return std::visit(visitor{settings}, r);
 }
 
+std::optional<request_kind> kind_of_target(std::string_view target)
+{
+    if (target == query_target) {
+        return request_kind::query;
+    }
+    if (target == lookup_target) {
+        return request_kind::lookup;
+    }
+    return std::nullopt;
+}
+
 http_answer refusal_at_front(int status, reason why, const std::string& field,
-                             const std::string& what)
+                             const std::string& what,
+                             std::optional<request_kind> kind)
 {
-    json body{{"outcome", "not_run"},
+    const char* outcome =
+        kind == request_kind::query ? "not_run" : "outcome_unknown";
+    json body{{"outcome", outcome},
               {"reason", name_of(why)},
               {"step", name_of(step::front)}};
     if (!field.empty()) {
@@ -147,7 +161,7 @@
     if (!what.empty()) {
         body["message"] = (field.empty() ? "request" : field) + " " + what;
     }
-    return {status, "not_run", name_of(why), dump(body)};
+    return {status, outcome, name_of(why), dump(body)};
 }
 
 int status_of(reason why)
--- a/src/io/response_json.hpp
+++ b/src/io/response_json.hpp
@@ -3,9 +3,12 @@
 
 #include "core/node_status.hpp"
 #include "core/results.hpp"
+#include "io/request_json.hpp"
 #include "settings/settings.hpp"
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace cranberrywood {
 
@@ -23,9 +26,17 @@
 /** Turns a response into JSON; settings, if any, give the peers' names. */
 http_answer to_http(const response& r, const settings_index* settings);
 
-/** Builds a refusal of a request that never reached the node. */
+/** Returns which route a request line names; none when it names neither. */
+std::optional<request_kind> kind_of_target(std::string_view target);
+
+/**
+ * Builds a refusal of a request that never reached the node. Only a query is
+ * known not to have run: the id of a lookup may have run through another VM,
+ * and so may a request of unknown kind.
+ */
 http_answer refusal_at_front(int status, reason why, const std::string& field,
-                             const std::string& what);
+                             const std::string& what,
+                             std::optional<request_kind> kind);
 
 /** Returns the HTTP status for a reason. */
 int status_of(reason why);
--- a/src/systems/admission.cpp
+++ b/src/systems/admission.cpp
@@ -10,6 +10,8 @@
 
 /** Requests that may wait for a slot of this VM. */
 constexpr std::size_t queue_limit = 4096;
+/** Requests within which the order of arrival is kept. */
+constexpr std::uint32_t queue_quantum = 4;
 /** Longest wait for rate tokens. */
 constexpr duration max_token_wait = 100ms;
 /** Share of the deadline that a request may wait for rate tokens. */
@@ -20,7 +22,7 @@
 } // namespace
 
 admission::admission(const rights_check& rights, rate_borrower& rates)
-    : m_rights(rights), m_rates(rates), m_queue(queue_limit)
+    : m_rights(rights), m_rates(rates), m_queue(queue_limit, queue_quantum)
 {
 }
 
--- a/src/systems/fair_queue.hpp
+++ b/src/systems/fair_queue.hpp
@@ -34,7 +34,14 @@
 class fair_queue
 {
 public:
-    explicit fair_queue(std::size_t limit) : m_limit(limit) {}
+    /**
+     * Entries whose start tags lie within quantum sub-requests are served in
+     * order of arrival; 1 is strict start-time fair queueing.
+     */
+    explicit fair_queue(std::size_t limit, std::uint32_t quantum = 1)
+        : m_limit(limit), m_quantum(tick_per_cost * quantum)
+    {
+    }
 
     /** Changes the bound; entries beyond it stay until they are served. */
     void set_limit(std::size_t limit)
@@ -94,11 +101,6 @@
     // the same on every machine.
     static constexpr std::uint64_t tick_per_cost = 1U << 20U;
 
-    // Entries whose start tags lie within so many sub-requests are served in
-    // order of arrival. It keeps the parts of a query together at all owners
-    // while their workspace is within its share.
-    static constexpr std::uint64_t quantum = 4 * tick_per_cost;
-
     struct entry
     {
         std::uint64_t start = 0;
@@ -114,7 +116,7 @@
     };
     using flows = std::map<workspace_id, flow>;
 
-    static bool goes_before(const entry& a, const entry& b);
+    bool goes_before(const entry& a, const entry& b) const;
     typename flows::iterator next_flow();
     typename flows::iterator fullest_flow();
     void drop_late_heads(flow& f, time_point now, duration work);
@@ -122,6 +124,7 @@
     void forget_idle_flows();
 
     std::size_t m_limit;
+    std::uint64_t m_quantum;
     std::size_t m_size = 0;
     std::uint64_t m_virtual_time = 0;
     std::uint64_t m_arrivals = 0;
@@ -203,10 +206,13 @@
 }
 
 template <class Item>
-bool fair_queue<Item>::goes_before(const entry& a, const entry& b)
+bool fair_queue<Item>::goes_before(const entry& a, const entry& b) const
 {
-    const std::uint64_t a_quantum = a.start / quantum;
-    const std::uint64_t b_quantum = b.start / quantum;
+    if (m_quantum == tick_per_cost) {
+        return a.start != b.start ? a.start < b.start : a.arrival < b.arrival;
+    }
+    const std::uint64_t a_quantum = a.start / m_quantum;
+    const std::uint64_t b_quantum = b.start / m_quantum;
     return a_quantum != b_quantum ? a_quantum < b_quantum
                                   : a.arrival < b.arrival;
 }
--- a/src/systems/owned_server.hpp
+++ b/src/systems/owned_server.hpp
@@ -44,10 +44,14 @@
     owned_server(const backend_server_settings& server,
                  const service_settings& limits, role_group_id owner_group)
         : id(server.id), group(owner_group), service(limits), window(limits),
-          queue(limits.queue_limit)
+          queue(limits.queue_limit, queue_quantum)
     {
     }
 
+    // Keeps the parts of a query together at all owners while its workspace
+    // is within its share.
+    static constexpr std::uint32_t queue_quantum = 4;
+
     backend_server_id id;
     role_group_id group;
     service_settings service;
--- a/src/tests/fair_queue_test.cpp
+++ b/src/tests/fair_queue_test.cpp
@@ -18,35 +18,62 @@
     {
         return {workspace, weight, cost, now + 1s};
     }
+
+    /** Entries served before one that came behind 50 of another workspace. */
+    std::uint32_t position_behind_a_backlog(std::uint32_t quantum)
+    {
+        fair_queue<int> queue(100, quantum);
+        for (int i = 0; i < 50; ++i) {
+            queue.push(terms(large), i);
+        }
+        queue.push(terms(small), 1000);
+        std::uint32_t position = 0;
+        while (queue.pop(now, 0ms) != 1000) {
+            ++position;
+        }
+        return position;
+    }
+
+    /** Entries of weight 3 and cost 2 among the first served. */
+    int of_large_in_first(int served, std::uint32_t quantum)
+    {
+        fair_queue<workspace_id> queue(1000, quantum);
+        for (int i = 0; i < 300; ++i) {
+            queue.push(terms(large, 3, 2), large);
+            queue.push(terms(small, 1, 1), small);
+        }
+        int of_large = 0;
+        for (int i = 0; i < served; ++i) {
+            of_large += queue.pop(now, 0ms) == large ? 1 : 0;
+        }
+        return of_large;
+    }
 };
 
 TEST(fair_queue, small_workspace_passes_a_long_backlog)
 {
-    fair_queue<int> queue(100);
-    for (int i = 0; i < 50; ++i) {
-        queue.push(terms(large), i);
-    }
-    queue.push(terms(small), 1000);
-    int position = 0;
-    while (queue.pop(now, 0ms) != 1000) {
-        ++position;
+    CHECK(position_behind_a_backlog(1) <= 1);
+}
+
+TEST(fair_queue, a_quantum_bounds_the_place_behind_a_backlog)
+{
+    for (const std::uint32_t quantum : {2U, 4U, 8U}) {
+        CHECK_EQUAL(quantum, position_behind_a_backlog(quantum));
     }
-    CHECK_EQUAL(4, position);
 }
 
 TEST(fair_queue, serves_by_weight_and_cost)
 {
-    fair_queue<workspace_id> queue(1000);
-    for (int i = 0; i < 300; ++i) {
-        queue.push(terms(large, 3, 2), large);
-        queue.push(terms(small, 1, 1), small);
-    }
-    int of_large = 0;
-    for (int i = 0; i < 100; ++i) {
-        of_large += queue.pop(now, 0ms) == large ? 1 : 0;
+    CHECK_EQUAL(60, of_large_in_first(100, 1));
+}
+
+// Within a quantum the order is that of arrival, so a workspace is ahead of
+// its share by at most the entries of one quantum, and exact at its end.
+TEST(fair_queue, a_quantum_keeps_shares_exact_at_its_ends)
+{
+    for (int served = 20; served <= 200; served += 20) {
+        CHECK_EQUAL(served * 3 / 5, of_large_in_first(served, 4));
     }
-    CHECK(of_large >= 56);
-    CHECK(of_large <= 64);
 }
 
 TEST(fair_queue, full_queue_drops_from_the_workspace_that_fills_it)
