--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -23,7 +23,7 @@
 call_sender::call_sender(const gateway_settings& settings,
                          server_table& servers, server_choice& choice)
     : m_settings(settings), m_servers(servers), m_choice(choice),
-      m_observer(servers), m_vms(settings.assumed_vms)
+      m_observer(servers), m_vms(settings.member.assumed_vms)
 {
 }
 
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -1,5 +1,6 @@
 #include "core/gateway.hpp"
 
+#include "core/log_codes.hpp"
 #include "systems/queries/request_answer.hpp"
 
 #include <algorithm>
@@ -17,12 +18,14 @@
 
 } // namespace
 
-gateway::gateway(const gateway_settings& settings, random_source& random)
+gateway::gateway(const gateway_settings& settings, random_source& random,
+                 time_point now)
     : m_directory(m_servers), m_choice(m_servers, random),
       m_sender(settings, m_servers, m_choice),
-      m_admission(m_rates, m_waiting, random)
+      m_admission(m_rates, m_waiting, random),
+      m_peers(settings.member, incarnation(random.next() | 1U), m_rates, random,
+              now)
 {
-    m_rates.fleet_changed(settings.assumed_vms);
 }
 
 gateway_commands gateway::handle(const gateway_event& event, time_point now)
@@ -39,6 +42,8 @@
         review(*token, now, out);
     }
     m_sender.cancel_overdue(now, out);
+    m_peers.tick(now, out);
+    follow_fleet_size(now, out);
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
         m_directory.drop_unlisted(now);
@@ -54,10 +59,8 @@
     if (overdue && (!next || *overdue < *next)) {
         next = overdue;
     }
-    if (!next || m_next_sweep < *next) {
-        next = m_next_sweep;
-    }
-    return next;
+    const time_point regular = std::min(m_next_sweep, m_peers.next_wakeup());
+    return next ? std::min(*next, regular) : regular;
 }
 
 void gateway::on(const caller_asked& asked, time_point now,
@@ -152,11 +155,25 @@
     m_directory.contact_changed(contact, now);
 }
 
-void gateway::on(const fleet_size_learnt& size, time_point /*now*/,
-                 gateway_commands& /*out*/)
+void gateway::on(const datagram_received& datagram, time_point now,
+                 gateway_commands& out)
 {
-    m_rates.fleet_changed(size.vms);
-    m_sender.fleet_changed(size.vms);
+    m_peers.received(datagram, now, out);
+    follow_fleet_size(now, out);
+}
+
+void gateway::follow_fleet_size(time_point now, gateway_commands& out)
+{
+    const std::uint32_t size = m_peers.fleet_size(now);
+    if (size == m_fleet_size) {
+        return;
+    }
+    m_fleet_size = size;
+    m_rates.fleet_changed(size);
+    m_sender.fleet_changed(size);
+    out.push_back(
+        gateway_log{static_cast<std::uint32_t>(log_code::fleet_size_changed),
+                    "vms=" + std::to_string(size)});
 }
 
 void gateway::start_call(open_request& request, std::uint32_t call,
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -4,6 +4,7 @@
 #include "core/call_sender.hpp"
 #include "core/gateway_admission.hpp"
 #include "core/gateway_messages.hpp"
+#include "core/gateway_peers.hpp"
 #include "core/gateway_settings.hpp"
 #include "core/random_source.hpp"
 #include "tables/due_queue.hpp"
@@ -19,7 +20,8 @@
 {
 public:
     /** The random source must outlive the gateway. */
-    gateway(const gateway_settings& settings, random_source& random);
+    gateway(const gateway_settings& settings, random_source& random,
+            time_point now);
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
@@ -59,8 +61,9 @@
             gateway_commands& out);
     void on(const store_contact& contact, time_point now,
             gateway_commands& out);
-    void on(const fleet_size_learnt& size, time_point now,
+    void on(const datagram_received& datagram, time_point now,
             gateway_commands& out);
+    void follow_fleet_size(time_point now, gateway_commands& out);
 
     void start_call(open_request& request, std::uint32_t call,
                     send_purpose purpose, time_point now,
@@ -92,6 +95,8 @@
     rate_slices m_rates;
     call_sender m_sender;
     gateway_admission m_admission;
+    gateway_peers m_peers;
+    std::uint32_t m_fleet_size = 0;
     std::shared_ptr<const catalogue> m_settings;
     open_requests m_requests;
     due_queue<caller_token> m_due;
--- /dev/null
+++ b/src/core/gateway_datagram.hpp
@@ -0,0 +1,57 @@
+#ifndef CRANBERRYWOOD_CORE_GATEWAY_DATAGRAM_HPP
+#define CRANBERRYWOOD_CORE_GATEWAY_DATAGRAM_HPP
+
+#include "units/endpoint.hpp"
+#include "units/ids.hpp"
+#include "units/time.hpp"
+
+#include <string>
+#include <vector>
+
+/** What gateways of one fleet tell each other; any of it may be lost. */
+namespace cranberrywood {
+
+/** Another VM that the sender knows of. */
+struct member_hint
+{
+    /** `host:port` at which it takes datagrams. */
+    std::string address;
+    /** Time since the sender, or somebody it heard of, heard it. */
+    duration age{0};
+};
+
+/** Asks for a part of the receiver's slice of a workspace's rate. */
+struct rate_ask
+{
+    /** Number of the ask; the grant repeats it. */
+    std::uint64_t ask = 0;
+    workspace_id workspace;
+    /** Thousandths of a request a second. */
+    std::uint64_t rate_milli = 0;
+};
+
+/** Lends a part of the sender's slice until a time after the ask was sent. */
+struct rate_grant
+{
+    std::uint64_t ask = 0;
+    workspace_id workspace;
+    std::uint64_t rate_milli = 0;
+    duration term{0};
+};
+
+/** One datagram between two gateways. */
+struct gateway_datagram
+{
+    incarnation process;
+    /** VMs that the sender knows of, itself included. */
+    std::uint32_t fleet_size = 1;
+    /** The sender has run long enough to know the fleet. */
+    bool settled = false;
+    std::vector<member_hint> members;
+    std::vector<rate_ask> asks;
+    std::vector<rate_grant> grants;
+};
+
+} // namespace cranberrywood
+
+#endif
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYWOOD_CORE_GATEWAY_MESSAGES_HPP
 #define CRANBERRYWOOD_CORE_GATEWAY_MESSAGES_HPP
 
+#include "core/gateway_datagram.hpp"
 #include "tables/backend_server_entry.hpp"
 #include "tables/catalogue.hpp"
 #include "units/ids.hpp"
@@ -131,16 +132,18 @@
     bool reachable = false;
 };
 
-/** How many VMs may share the limits, and how long that has been known. */
-struct fleet_size_learnt
+/** A datagram from another gateway. */
+struct datagram_received
 {
-    std::uint32_t vms = 1;
+    /** `host:port` of the sender. */
+    std::string from;
+    gateway_datagram datagram;
 };
 
 using gateway_event =
     std::variant<caller_asked, caller_left, exchange_ended, catalogue_read,
                  servers_reported, server_unlisted, evacuations_read,
-                 store_contact, fleet_size_learnt>;
+                 store_contact, datagram_received>;
 
 /** Send a request to a backend server. */
 struct start_exchange
@@ -221,6 +224,13 @@
     gateway_answer answer;
 };
 
+/** Send a datagram to another gateway; it may be lost. */
+struct send_datagram
+{
+    std::string to;
+    gateway_datagram datagram;
+};
+
 /** Write a numbered event to the log; docs/EVENTS.md lists the codes. */
 struct gateway_log
 {
@@ -228,8 +238,9 @@
     std::string text;
 };
 
-using gateway_command = std::variant<start_exchange, cancel_exchange,
-                                     answer_to_caller, gateway_log>;
+using gateway_command =
+    std::variant<start_exchange, cancel_exchange, answer_to_caller,
+                 send_datagram, gateway_log>;
 
 /** Commands in the order in which they are to be carried out. */
 using gateway_commands = std::vector<gateway_command>;
--- a/src/core/gateway_settings.hpp
+++ b/src/core/gateway_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYWOOD_CORE_GATEWAY_SETTINGS_HPP
 #define CRANBERRYWOOD_CORE_GATEWAY_SETTINGS_HPP
 
+#include "systems/members/member_directory.hpp"
 #include "units/ids.hpp"
 #include "units/time.hpp"
 
@@ -16,8 +17,7 @@
     std::uint32_t extra_percent = 20;
     /** Extra sends that a service bears besides, over all VMs. */
     std::uint32_t extra_saved = 50;
-    /** VMs that are assumed before others have been heard of. */
-    std::uint32_t assumed_vms = 16;
+    member_identity member;
 };
 
 } // namespace cranberrywood
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -29,6 +29,7 @@
     lease_released = 1202,
     lease_lapsed = 1203,
     membership_changed = 1204,
+    fleet_size_changed = 1205,
     request_refused = 1601,
     request_failed = 1602,
     request_improper = 1603,
--- a/src/loop/gateway_file.cpp
+++ b/src/loop/gateway_file.cpp
@@ -95,6 +95,11 @@
         return errors;
     }
     file.decisions.data_centre = id_of<data_centre_id>(file.data_centre);
+    member_identity& member = file.decisions.member;
+    member.self = to_string(endpoint{file.host, file.peer_port});
+    for (const endpoint& seed : file.seeds) {
+        member.seeds.push_back(to_string(endpoint{seed.host, file.peer_port}));
+    }
     return file;
 }
 
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -34,8 +34,16 @@
                                  event_log& log)
     : m_file(std::move(file)), m_adapter(adapter), m_log(log),
       m_io(1), m_loop{m_io, m_clock}, m_random(process_seed()),
-      m_gateway(m_file.decisions, m_random), m_front(m_loop, *this),
-      m_ready_front(m_loop), m_links(m_loop, *this),
+      m_gateway(m_file.decisions, m_random, m_clock.now()),
+      m_front(m_loop, *this), m_ready_front(m_loop), m_links(m_loop, *this),
+      m_peers(
+          m_loop,
+          [this](const std::string& from, gateway_datagram datagram) {
+              handle(datagram_received{from, std::move(datagram)});
+          },
+          [this](const std::string& why) {
+              m_log.write(log_code::peer_frame_refused, "why=\"" + why + '"');
+          }),
       m_settings_reader(m_loop, adapter, m_file.store,
                         store_area::operator_settings, settings_pause, m_random,
                         *this),
@@ -70,7 +78,8 @@
         return http_answer_text{ready() ? ok : unavailable, "", ""};
     });
     for (const auto& error :
-         {m_front.listen(m_file.callers), m_ready_front.listen(m_file.ready)}) {
+         {m_front.listen(m_file.callers), m_ready_front.listen(m_file.ready),
+          m_peers.open({m_file.host, m_file.peer_port})}) {
         if (error) {
             m_log.write(log_code::port_not_free, "address=" + *error);
             return false;
@@ -188,6 +197,10 @@
             process.m_front.answer(
                 answer.token, process.m_adapter.write_answer(answer.answer));
         }
+        void operator()(const send_datagram& send) const
+        {
+            process.m_peers.send(send.to, send.datagram);
+        }
         void operator()(const gateway_log& log) const
         {
             process.m_log.write(log.code, log.text);
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -7,6 +7,7 @@
 #include "loop/caller_front.hpp"
 #include "loop/event_log.hpp"
 #include "loop/gateway_file.hpp"
+#include "loop/peer_socket.hpp"
 #include "loop/probe_front.hpp"
 #include "loop/store_reader.hpp"
 #include "systems/store/store_view.hpp"
@@ -68,6 +69,7 @@
     caller_front m_front;
     probe_front m_ready_front;
     backend_links m_links;
+    peer_socket m_peers;
     store_reader m_settings_reader;
     store_reader m_servers_reader;
     boost::asio::steady_timer m_timer;
--- /dev/null
+++ b/src/wire/gateway.thrift
@@ -0,0 +1,32 @@
+/**
+ * Datagrams between gateways. src/core/gateway_datagram.hpp documents the
+ * fields. Ids and durations (nanoseconds) are 64-bit numbers.
+ */
+namespace cpp cranberrywood.wire
+
+struct member_hint {
+  1: string address
+  2: i64 age
+}
+
+struct rate_ask {
+  1: i64 ask
+  2: i64 workspace
+  3: i64 rate_milli
+}
+
+struct rate_grant {
+  1: i64 ask
+  2: i64 workspace
+  3: i64 rate_milli
+  4: i64 term
+}
+
+struct gateway_datagram {
+  1: i64 process
+  2: i32 fleet_size
+  3: bool settled
+  4: list<member_hint> members
+  5: list<rate_ask> asks
+  6: list<rate_grant> grants
+}
--- /dev/null
+++ b/src/wire/gateway_fields.hpp
@@ -0,0 +1,52 @@
+#ifndef CRANBERRYWOOD_WIRE_GATEWAY_FIELDS_HPP
+#define CRANBERRYWOOD_WIRE_GATEWAY_FIELDS_HPP
+
+#include "core/gateway_datagram.hpp"
+#include "wire/field_copy.hpp"
+#include "wire/gen/gateway_types.h"
+
+/** Field pairs of the datagrams between gateways. */
+namespace cranberrywood::wire_detail {
+
+template <class D>
+void copy_fields(D& copy, typename D::template core<member_hint> c,
+                 typename D::template wired<wire::member_hint> w)
+{
+    copy(c.address, w.address);
+    copy(c.age, w.age);
+}
+
+template <class D>
+void copy_fields(D& copy, typename D::template core<rate_ask> c,
+                 typename D::template wired<wire::rate_ask> w)
+{
+    copy(c.ask, w.ask);
+    copy(c.workspace, w.workspace);
+    copy(c.rate_milli, w.rate_milli);
+}
+
+template <class D>
+void copy_fields(D& copy, typename D::template core<rate_grant> c,
+                 typename D::template wired<wire::rate_grant> w)
+{
+    copy(c.ask, w.ask);
+    copy(c.workspace, w.workspace);
+    copy(c.rate_milli, w.rate_milli);
+    copy(c.term, w.term);
+}
+
+template <class D>
+void copy_fields(D& copy, typename D::template core<gateway_datagram> c,
+                 typename D::template wired<wire::gateway_datagram> w)
+{
+    copy(c.process, w.process);
+    copy(c.fleet_size, w.fleet_size);
+    copy(c.settled, w.settled);
+    copy(c.members, w.members);
+    copy(c.asks, w.asks);
+    copy(c.grants, w.grants);
+}
+
+} // namespace cranberrywood::wire_detail
+
+#endif
