servers: a removal behind an entry in one page ends the server's use; late reports are stale

Ruled out: store out of reach (in contact all the while), a lost tombstone (it was read at 22.32 s). Events now keep the order of the changes, and a report with the number of the last one before the removal is stale.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -132,14 +132,14 @@
 void gateway::on(const servers_reported& report, time_point now,
                  gateway_commands& out)
 {
-    m_directory.reported(report, now);
+    m_directory.reported(report, now, out);
     serve_all_waiting(now, out);
 }
 
 void gateway::on(const server_unlisted& gone, time_point now,
-                 gateway_commands& /*out*/)
+                 gateway_commands& out)
 {
-    m_directory.unlisted(gone.server, now);
+    m_directory.unlisted(gone.server, now, out);
 }
 
 void gateway::on(const evacuations_read& read, time_point now,
--- a/src/systems/servers/server_directory.cpp
+++ b/src/systems/servers/server_directory.cpp
@@ -1,5 +1,7 @@
 #include "systems/servers/server_directory.hpp"
 
+#include "core/log_codes.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -19,17 +21,29 @@
 constexpr duration min_avoid = 150ms;
 constexpr duration max_avoid = 2400ms;
 
+void log_server(log_code code, const backend_server_entry& entry,
+                const char* more, gateway_commands& out)
+{
+    out.push_back(gateway_log{
+        static_cast<std::uint32_t>(code),
+        "server=" + entry.name + " address=" + to_string(entry.address) +
+            " draining=" + (entry.draining ? "yes" : "no") +
+            " born_ms=" + std::to_string(entry.born_ms) +
+            " sequence=" + std::to_string(entry.sequence) + more});
+}
+
 } // namespace
 
 server_directory::server_directory(server_table& servers) : m_servers(servers)
 {
 }
 
-void server_directory::reported(const servers_reported& report, time_point now)
+void server_directory::reported(const servers_reported& report, time_point now,
+                                gateway_commands& out)
 {
     std::set<backend_server_id> listed;
     for (const backend_server_entry& entry : report.entries) {
-        m_servers.put(entry, now);
+        put(entry, now, out);
         listed.insert(entry.id);
     }
     if (!report.whole_list) {
@@ -37,15 +51,41 @@
     }
     for (const backend_server_id id : m_servers.all()) {
         if (listed.count(id) == 0) {
-            end_use(*m_servers.find(id), now);
+            end_use(*m_servers.find(id), now, out);
+        }
+    }
+}
+
+// Only what changes the use of a server is logged; most reports change
+// nothing.
+void server_directory::put(const backend_server_entry& entry, time_point now,
+                           gateway_commands& out)
+{
+    const server_row* known = m_servers.find(entry.id);
+    const bool listed = known != nullptr && !known->unlisted_at;
+    const bool was_draining = known != nullptr && known->entry.draining;
+    switch (m_servers.put(entry, now)) {
+    case put_result::stale:
+        log_server(log_code::server_report_stale, entry, "", out);
+        return;
+    case put_result::started:
+        log_server(log_code::server_listed, entry, "", out);
+        return;
+    case put_result::updated:
+        if (!listed) {
+            log_server(log_code::server_listed, entry, " again=yes", out);
+        } else if (entry.draining != was_draining) {
+            log_server(log_code::server_drain_changed, entry, "", out);
         }
+        return;
     }
 }
 
-void server_directory::unlisted(backend_server_id server, time_point now)
+void server_directory::unlisted(backend_server_id server, time_point now,
+                                gateway_commands& out)
 {
     if (server_row* row = m_servers.find(server)) {
-        end_use(*row, now);
+        end_use(*row, now, out);
     }
 }
 
@@ -69,7 +109,8 @@
     }
 }
 
-void server_directory::end_use(server_row& row, time_point now) const
+void server_directory::end_use(server_row& row, time_point now,
+                               gateway_commands& out) const
 {
     if (row.unlisted_at) {
         return;
@@ -77,6 +118,8 @@
     const bool may_lapse =
         !m_reachable || now - m_contact_since < return_period;
     row.unlisted_at = may_lapse ? now + lapse_use : now;
+    log_server(log_code::server_unlisted, row.entry,
+               may_lapse ? " may_lapse=yes" : " may_lapse=no", out);
 }
 
 server_observer::server_observer(server_table& servers) : m_servers(servers) {}
--- a/src/systems/servers/server_directory.hpp
+++ b/src/systems/servers/server_directory.hpp
@@ -18,15 +18,19 @@
 public:
     explicit server_directory(server_table& servers);
 
-    void reported(const servers_reported& report, time_point now);
-    void unlisted(backend_server_id server, time_point now);
+    void reported(const servers_reported& report, time_point now,
+                  gateway_commands& out);
+    void unlisted(backend_server_id server, time_point now,
+                  gateway_commands& out);
     void contact_changed(const store_contact& contact, time_point now);
 
     /** Drops rows that were unlisted and have nothing in flight. */
     void drop_unlisted(time_point now);
 
 private:
-    void end_use(server_row& row, time_point now) const;
+    void put(const backend_server_entry& entry, time_point now,
+             gateway_commands& out);
+    void end_use(server_row& row, time_point now, gateway_commands& out) const;
 
     server_table& m_servers;
     bool m_reachable = false;
--- a/src/systems/store/store_messages.hpp
+++ b/src/systems/store/store_messages.hpp
@@ -38,6 +38,8 @@
 /** An item was removed. */
 struct removed_item
 {
+    /** The backend server whose entry it was, if it was one. */
+    backend_server_id server;
 };
 
 using store_value =
--- a/src/systems/store/store_view.cpp
+++ b/src/systems/store/store_view.cpp
@@ -1,6 +1,7 @@
 #include "systems/store/store_view.hpp"
 
 #include <set>
+#include <utility>
 
 namespace cranberrywood {
 
@@ -9,7 +10,6 @@
 {
     items& known =
         area == store_area::operator_settings ? m_settings : m_servers;
-    const items before = area == store_area::backend_servers ? known : items();
     std::vector<store_change> taken;
     if (page.whole) {
         drop_missing(known, page, taken);
@@ -23,7 +23,7 @@
     if (area == store_area::operator_settings) {
         settings_events(taken, events);
     } else {
-        server_events(before, taken, events);
+        server_events(taken, events);
     }
     return events;
 }
@@ -59,7 +59,12 @@
             ++it;
             continue;
         }
-        removed.push_back({it->first, it->second.revision, removed_item{}});
+        removed_item item;
+        if (const auto* entry =
+                std::get_if<backend_server_entry>(&it->second.value)) {
+            item.server = entry->id;
+        }
+        removed.push_back({it->first, it->second.revision, item});
         it = known.erase(it);
     }
 }
@@ -89,29 +94,28 @@
     events.insert(events.begin(), std::move(read));
 }
 
-void store_view::server_events(const items& before,
-                               const std::vector<store_change>& changes,
+// In the order of the changes: an entry that follows its own removal is a
+// late report, and only the order tells.
+void store_view::server_events(const std::vector<store_change>& changes,
                                std::vector<gateway_event>& events)
 {
     servers_reported report;
+    const auto flush = [&] {
+        if (!report.entries.empty()) {
+            events.emplace_back(std::exchange(report, {}));
+        }
+    };
     for (const store_change& change : changes) {
         if (const auto* entry =
                 std::get_if<backend_server_entry>(&change.value)) {
             report.entries.push_back(*entry);
-            continue;
+        } else if (const auto* removed =
+                       std::get_if<removed_item>(&change.value)) {
+            flush();
+            events.emplace_back(server_unlisted{removed->server});
         }
-        const auto known = before.find(change.key);
-        if (known == before.end()) {
-            continue;
-        }
-        if (const auto* entry =
-                std::get_if<backend_server_entry>(&known->second.value)) {
-            events.emplace_back(server_unlisted{entry->id});
-        }
-    }
-    if (!report.entries.empty()) {
-        events.emplace_back(std::move(report));
     }
+    flush();
 }
 
 } // namespace cranberrywood
--- a/src/systems/store/store_view.hpp
+++ b/src/systems/store/store_view.hpp
@@ -39,8 +39,7 @@
                              std::vector<store_change>& removed);
     void settings_events(const std::vector<store_change>& changes,
                          std::vector<gateway_event>& events) const;
-    static void server_events(const items& before,
-                              const std::vector<store_change>& changes,
+    static void server_events(const std::vector<store_change>& changes,
                               std::vector<gateway_event>& events);
 
     items m_settings;
--- a/src/tables/server_table.cpp
+++ b/src/tables/server_table.cpp
@@ -6,14 +6,8 @@
 
 namespace {
 
-/** Returns whether an entry was written before the one that is known. */
-bool is_older(const backend_server_entry& known,
-              const backend_server_entry& entry)
-{
-    return entry.born_ms != known.born_ms ? entry.born_ms < known.born_ms
-                                          : entry.address == known.address &&
-                                                entry.sequence < known.sequence;
-}
+/** Departed servers whose last reports are kept. */
+constexpr std::size_t max_departed = 20000;
 
 /** Returns whether an entry comes from another start of the server. */
 bool restarted(const backend_server_entry& known,
@@ -24,13 +18,13 @@
 
 } // namespace
 
-bool server_table::put(const backend_server_entry& entry, time_point now)
+put_result server_table::put(const backend_server_entry& entry, time_point now)
 {
+    if (is_stale(entry)) {
+        return put_result::stale;
+    }
     auto [it, added] = m_rows.try_emplace(entry.id);
     server_row& row = it->second;
-    if (!added && is_older(row.entry, entry)) {
-        return false;
-    }
     if (!added && row.entry.service != entry.service) {
         unindex(entry.id, row.entry.service);
     }
@@ -48,7 +42,27 @@
     row.cold_until = entry.cold_remaining > duration(0)
                          ? now + entry.cold_remaining
                          : time_point();
-    return fresh;
+    return fresh ? put_result::started : put_result::updated;
+}
+
+// Reports may be written late: after a later report of the server, or after
+// its entry was removed. A server that lives reports with a new number.
+bool server_table::is_stale(const backend_server_entry& entry) const
+{
+    const auto behind = [&](std::uint64_t born, std::uint64_t sequence,
+                            bool listed) {
+        if (entry.born_ms != born) {
+            return entry.born_ms < born;
+        }
+        return listed ? entry.sequence < sequence : entry.sequence <= sequence;
+    };
+    if (const server_row* row = find(entry.id)) {
+        return behind(row->entry.born_ms, row->entry.sequence,
+                      !row->unlisted_at);
+    }
+    const auto departed = m_departed.find(entry.id);
+    return departed != m_departed.end() &&
+           behind(departed->second.born_ms, departed->second.sequence, false);
 }
 
 void server_table::remove(backend_server_id id)
@@ -57,7 +71,12 @@
     if (found == m_rows.end()) {
         return;
     }
-    unindex(id, found->second.entry.service);
+    const backend_server_entry& entry = found->second.entry;
+    if (m_departed.size() >= max_departed) {
+        m_departed.clear();
+    }
+    m_departed[id] = {entry.born_ms, entry.sequence};
+    unindex(id, entry.service);
     m_rows.erase(found);
 }
 
--- a/src/tables/server_table.hpp
+++ b/src/tables/server_table.hpp
@@ -38,12 +38,22 @@
     }
 };
 
+/** What became of an entry. */
+enum class put_result : std::uint8_t
+{
+    /** The server is new, or started again. */
+    started,
+    updated,
+    /** A later entry is known. */
+    stale,
+};
+
 /** Backend servers by id and by service. */
 class server_table
 {
 public:
-    /** Adds a row or takes over a newer entry; returns whether it is new. */
-    bool put(const backend_server_entry& entry, time_point now);
+    /** Adds a row or takes over an entry, unless a later one is known. */
+    put_result put(const backend_server_entry& entry, time_point now);
     void remove(backend_server_id id);
 
     server_row* find(backend_server_id id);
@@ -58,10 +68,19 @@
     }
 
 private:
+    bool is_stale(const backend_server_entry& entry) const;
     void index(backend_server_id id, service_id service);
     void unindex(backend_server_id id, service_id service);
 
+    /** Last report of a server whose row is gone. */
+    struct last_report
+    {
+        std::uint64_t born_ms = 0;
+        std::uint64_t sequence = 0;
+    };
+
     std::unordered_map<backend_server_id, server_row> m_rows;
+    std::unordered_map<backend_server_id, last_report> m_departed;
     std::unordered_map<service_id, std::vector<backend_server_id>> m_services;
 };
 
--- /dev/null
+++ b/src/tests/record_merge_test.cpp
@@ -0,0 +1,62 @@
+#include <rapidcheck.h>
+
+#include "systems/queries/record_merge.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace cranberrywood;
+
+TEST_GROUP(record_merge){
+    static std::string record(char fill){return std::string(record_bytes, fill);
+}
+}
+;
+
+TEST(record_merge, bytes_compare_unsigned_and_equal_records_all_count)
+{
+    const std::string high = record('\xff');
+    const std::string low = record('a');
+    const std::string part = low + high;
+    const std::string merged = greatest_records({part, part, high}, 4);
+    CHECK(merged == high + high + high + low);
+}
+
+TEST(record_merge, a_remainder_is_no_record)
+{
+    const std::string part = record('b') + "zzzzzzz";
+    CHECK(greatest_records({part}, 5) == record('b'));
+    CHECK(greatest_records({"zz"}, 5).empty());
+    CHECK(greatest_records({}, 5).empty());
+}
+
+TEST(record_merge, property_equals_a_sort_of_everything)
+{
+    const bool holds = rc::check([] {
+        const auto texts = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::string<std::string>());
+        const auto most = *rc::gen::inRange<std::uint32_t>(0, 12);
+        std::vector<std::string> parts;
+        std::vector<std::string> all;
+        for (const std::string& text : texts) {
+            std::string part;
+            for (int i = 0; i < 5; ++i) {
+                part += text;
+            }
+            for (std::size_t i = 0; i + record_bytes <= part.size();
+                 i += record_bytes) {
+                all.push_back(part.substr(i, record_bytes));
+            }
+            parts.push_back(part);
+        }
+        std::sort(all.begin(), all.end(), std::greater<>());
+        all.resize(std::min<std::size_t>(all.size(), most));
+        std::string expected;
+        for (const std::string& r : all) {
+            expected += r;
+        }
+        RC_ASSERT(greatest_records({parts.begin(), parts.end()}, most) ==
+                  expected);
+    });
+    CHECK(holds);
+}
--- /dev/null
+++ b/src/tests/store_view_test.cpp
@@ -0,0 +1,99 @@
+#include "systems/store/store_view.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cranberrywood;
+using namespace std::chrono_literals;
+
+TEST_GROUP(store_view)
+{
+    store_view view;
+
+    static store_change entry(const std::string& name, std::uint64_t revision,
+                              std::uint64_t sequence = 1)
+    {
+        backend_server_entry e;
+        e.name = name;
+        e.id = id_of<backend_server_id>(name);
+        e.sequence = sequence;
+        return {"servers/" + name, store_revision(revision), e};
+    }
+    static store_change removal(const std::string& name, std::uint64_t revision)
+    {
+        return {"servers/" + name, store_revision(revision),
+                removed_item{id_of<backend_server_id>(name)}};
+    }
+    static store_change settings(std::uint64_t version, std::uint64_t revision)
+    {
+        auto read = std::make_shared<catalogue>();
+        read->version = version;
+        return {"settings", store_revision(revision),
+                std::shared_ptr<const catalogue>(read)};
+    }
+    static store_change out(const std::string& name, std::uint64_t revision)
+    {
+        return {"out/" + name, store_revision(revision),
+                evacuated_data_centre{id_of<data_centre_id>(name)}};
+    }
+    std::vector<gateway_event> servers(std::vector<store_change> changes,
+                                       bool whole = false)
+    {
+        return view.apply(store_area::backend_servers, {changes, whole});
+    }
+};
+
+// A server that registered and left between two watches must not stay.
+TEST(store_view, an_entry_and_its_removal_in_one_page_end_in_removal)
+{
+    const auto events = servers({entry("a", 5), removal("a", 6)});
+    CHECK_EQUAL(2, events.size());
+    CHECK(std::holds_alternative<servers_reported>(events[0]));
+    CHECK(std::get<server_unlisted>(events[1]).server ==
+          id_of<backend_server_id>("a"));
+}
+
+TEST(store_view, a_return_behind_a_removal_ends_in_an_entry)
+{
+    const auto events =
+        servers({entry("a", 5), removal("a", 6), entry("a", 7, 2)});
+    CHECK_EQUAL(3, events.size());
+    CHECK_EQUAL(2U, std::get<servers_reported>(events[2]).entries[0].sequence);
+}
+
+TEST(store_view, a_whole_list_removes_what_it_lacks)
+{
+    servers({entry("a", 5), entry("b", 6)}, true);
+    const auto events = servers({entry("b", 6)}, true);
+    CHECK_EQUAL(1, events.size());
+    CHECK(std::get<server_unlisted>(events[0]).server ==
+          id_of<backend_server_id>("a"));
+}
+
+TEST(store_view, an_older_revision_changes_nothing)
+{
+    servers({entry("a", 9, 4)});
+    CHECK(servers({entry("a", 8, 3)}).empty());
+    CHECK(servers({removal("a", 9)}).empty());
+}
+
+TEST(store_view, an_unreadable_item_leaves_what_is_known)
+{
+    servers({entry("a", 5)});
+    CHECK(servers({{"servers/a", store_revision(6), unreadable_item{"json"}}})
+              .empty());
+    CHECK_EQUAL(1U, view.unreadable_items());
+}
+
+TEST(store_view, evacuations_come_whole_and_before_settings)
+{
+    view.apply(store_area::operator_settings, {{out("x", 1)}, true});
+    const auto events = view.apply(store_area::operator_settings,
+                                   {{settings(3, 2), out("y", 3)}, false});
+    CHECK_EQUAL(2, events.size());
+    CHECK_EQUAL(2, std::get<evacuations_read>(events[0]).data_centres.size());
+    CHECK_EQUAL(3U, std::get<catalogue_read>(events[1]).read->version);
+    const auto back =
+        view.apply(store_area::operator_settings,
+                   {{{"out/x", store_revision(4), removed_item{}}}, false});
+    CHECK_EQUAL(1, std::get<evacuations_read>(back[0]).data_centres.size());
+}
