rates: no dangling loan while lending; choice: recovered servers are tried again

Both found by tests written now. rate_slices_test under the sanitizer: the sum of the loans drops ended rows, among them the one that a reference was held to. server_choice_test: of two servers the one last seen slower was never chosen again, as its latency only approaches the typical one; costs now differ by a chance of 10 %.

--- a/src/core/gateway_peers.cpp
+++ b/src/core/gateway_peers.cpp
@@ -50,7 +50,6 @@
 {
     if (now >= m_next_heartbeat) {
         m_next_heartbeat = now + heartbeat_interval;
-        m_members.forget_silent(now);
         send_heartbeats(now, out);
     }
     if (now >= m_next_asks) {
--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -53,6 +53,7 @@
 // that two halves of a fleet that lost each other find together again.
 std::vector<std::string> member_directory::heartbeat_targets(time_point now)
 {
+    forget_silent(now);
     std::vector<std::string> targets = live(now);
     if (targets.size() > heartbeats_at_once) {
         targets.resize(heartbeats_at_once);
@@ -118,6 +119,7 @@
     return addresses;
 }
 
+/** Forgets VMs that have been silent for very long. */
 void member_directory::forget_silent(time_point now)
 {
     for (auto it = m_heard.begin(); it != m_heard.end();) {
--- a/src/systems/members/member_directory.hpp
+++ b/src/systems/members/member_directory.hpp
@@ -44,10 +44,9 @@
     std::uint32_t fleet_size(time_point now) const;
     /** Returns VMs that were heard from a moment ago, in random order. */
     std::vector<std::string> live(time_point now);
-    /** Forgets VMs that have been silent for very long. */
-    void forget_silent(time_point now);
 
 private:
+    void forget_silent(time_point now);
     bool settled(time_point now) const;
     bool alone() const;
     void shuffle(std::vector<std::string>& addresses);
--- a/src/systems/rates/rate_slices.cpp
+++ b/src/systems/rates/rate_slices.cpp
@@ -107,21 +107,18 @@
     const std::uint64_t own = own_milli(*entry);
     const std::uint64_t demand =
         s.demand.expected_within(1s, now) * milli * kept_percent / 100;
-    loan& last = s.lent[to];
-    if (last.until <= now) {
-        last.rate_milli = 0;
-    }
-    const std::uint64_t used = std::max(demand, own / kept_divisor) +
-                               sum(s.lent, now) - last.rate_milli;
+    const std::uint64_t lent_to_all = sum(s.lent, now);
+    const auto running = s.lent.find(to);
+    const std::uint64_t last =
+        running == s.lent.end() ? 0 : running->second.rate_milli;
+    const std::uint64_t used =
+        std::max(demand, own / kept_divisor) + lent_to_all - last;
     const std::uint64_t lent =
         std::min(ask.rate_milli, own > used ? own - used : 0);
     if (lent < least_loan) {
-        if (last.rate_milli == 0) {
-            s.lent.erase(to);
-        }
         return std::nullopt;
     }
-    s.lent[to] = {std::max(lent, last.rate_milli), now + loan_term};
+    s.lent[to] = {std::max(lent, last), now + loan_term};
     return rate_grant{ask.ask, ask.workspace, lent, loan_term};
 }
 
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -17,6 +17,9 @@
 constexpr duration assumed_latency = 15ms;
 /** Time in which a latency loses half of its distance from the typical. */
 constexpr duration latency_half_life = 1s;
+/** Costs that differ by less than this share may change places. */
+constexpr double cost_spread = 0.1;
+constexpr std::uint64_t cost_spread_steps = 101;
 /** Factor on the cost of servers of the own data centre. */
 constexpr double own_data_centre_factor = 0.85;
 
@@ -93,8 +96,16 @@
     const std::size_t first = m_random.below(best.size());
     std::size_t second = m_random.below(best.size() - 1);
     second += second >= first ? 1 : 0;
-    return best[first].cost <= best[second].cost ? best[first].id
-                                                 : best[second].id;
+    return best[first].cost <= best[second].cost * spread() ? best[first].id
+                                                            : best[second].id;
+}
+
+// A little chance, so that of two servers the one that was seen to be slower
+// is tried again once it may have recovered.
+double server_choice::spread() const
+{
+    const auto drawn = static_cast<double>(m_random.below(cost_spread_steps));
+    return 1.0 + cost_spread * (2.0 * drawn / (cost_spread_steps - 1) - 1.0);
 }
 
 server_choice::standing server_choice::standing_of(const server_row& row,
--- a/src/systems/servers/server_choice.hpp
+++ b/src/systems/servers/server_choice.hpp
@@ -69,6 +69,7 @@
         double cost = 0.0;
     };
 
+    double spread() const;
     standing standing_of(const server_row& row, time_point now) const;
     double cost_of(const server_row& row, data_centre_id own, duration typical,
                    time_point now) const;
