--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -13,6 +13,10 @@
 
 /** Interval at which unlisted servers and waiting calls are looked at. */
 constexpr duration sweep_interval = 250ms;
+/** Interval at which asks for tokens that found no answer are repeated. */
+constexpr duration token_look_interval = 15ms;
+/** Time after which a caller may return for whom no token was found. */
+constexpr duration token_retry_after = 100ms;
 /** Backend servers that one call may be sent to if none has run it. */
 constexpr std::size_t max_tries = 4;
 
@@ -20,11 +24,11 @@
 
 gateway::gateway(const gateway_settings& settings, random_source& random,
                  time_point now)
-    : m_directory(m_servers), m_choice(m_servers, random),
+    : m_members(settings.member, random, now), m_rates(m_members),
+      m_directory(m_servers), m_choice(m_servers, random),
       m_sender(settings, m_servers, m_choice),
       m_admission(m_rates, m_waiting, random),
-      m_peers(settings.member, incarnation(random.next() | 1U), m_rates, random,
-              now)
+      m_peers(m_members, incarnation(random.next() | 1U), m_rates, now)
 {
 }
 
@@ -43,6 +47,9 @@
     }
     m_sender.cancel_overdue(now, out);
     m_peers.tick(now, out);
+    if (now >= m_next_token_look) {
+        look_after_waiters(now, out);
+    }
     follow_fleet_size(now, out);
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
@@ -59,30 +66,107 @@
     if (overdue && (!next || *overdue < *next)) {
         next = overdue;
     }
-    const time_point regular = std::min(m_next_sweep, m_peers.next_wakeup());
+    const time_point regular =
+        std::min({m_next_sweep, m_peers.next_wakeup(), m_next_token_look});
     return next ? std::min(*next, regular) : regular;
 }
 
 void gateway::on(const caller_asked& asked, time_point now,
                  gateway_commands& out)
 {
-    auto admitted = m_admission.admit(asked, now);
+    admission_result admitted = m_admission.admit(asked, now);
+    if (const auto* needed = std::get_if<token_needed>(&admitted)) {
+        wait_for_token(asked, needed->workspace, now, out);
+    } else {
+        settle(asked.token, std::move(admitted), now, out);
+    }
+}
+
+void gateway::settle(caller_token token, admission_result admitted,
+                     time_point now, gateway_commands& out)
+{
     if (auto* refused = std::get_if<refused_answer>(&admitted)) {
-        out.push_back(answer_to_caller{asked.token, *refused});
+        out.push_back(answer_to_caller{token, *refused});
+    } else {
+        begin(std::move(std::get<std::unique_ptr<open_request>>(admitted)), now,
+              out);
+    }
+}
+
+void gateway::wait_for_token(const caller_asked& asked, workspace_id workspace,
+                             time_point now, gateway_commands& out)
+{
+    if (!m_token_waiters.add(workspace, asked, now)) {
+        out.push_back(answer_to_caller{
+            asked.token,
+            refused_answer{refusal_reason::over_rate, token_retry_after}});
         return;
     }
-    auto& slot = m_requests[asked.token];
-    slot = std::move(std::get<std::unique_ptr<open_request>>(admitted));
+    m_next_token_look = std::min(m_next_token_look, now + token_look_interval);
+    ask_for_tokens(workspace, now, out);
+}
+
+// When every holder was asked in vain, the requests that wait are refused.
+void gateway::ask_for_tokens(workspace_id workspace, time_point now,
+                             gateway_commands& out)
+{
+    const auto asks =
+        m_rates.asks_for(workspace, m_token_waiters.count(workspace), now);
+    m_peers.send_asks(asks, now, out);
+    if (asks.empty()) {
+        serve_token_waiters(workspace, now, out);
+    }
+}
+
+void gateway::serve_token_waiters(workspace_id workspace, time_point now,
+                                  gateway_commands& out)
+{
+    while (true) {
+        const time_point since = m_token_waiters.since(workspace);
+        const auto asked = m_token_waiters.take(workspace);
+        if (!asked) {
+            return;
+        }
+        admission_result admitted = m_admission.admit(*asked, now);
+        if (std::holds_alternative<token_needed>(admitted)) {
+            m_token_waiters.put_back(workspace, *asked, since);
+            return;
+        }
+        settle(asked->token, std::move(admitted), now, out);
+    }
+}
+
+void gateway::look_after_waiters(time_point now, gateway_commands& out)
+{
+    for (const caller_asked& late : m_token_waiters.take_late(now)) {
+        out.push_back(answer_to_caller{
+            late.token,
+            refused_answer{refusal_reason::over_rate, token_retry_after}});
+    }
+    for (const workspace_id workspace : m_token_waiters.workspaces()) {
+        ask_for_tokens(workspace, now, out);
+    }
+    m_next_token_look =
+        m_token_waiters.empty() ? time_point::max() : now + token_look_interval;
+}
+
+void gateway::begin(std::unique_ptr<open_request> row, time_point now,
+                    gateway_commands& out)
+{
+    const caller_token token = row->token;
+    auto& slot = m_requests[token];
+    slot = std::move(row);
     open_request& request = *slot;
     for (std::uint32_t call = 0; call < request.calls.size(); ++call) {
         m_sender.count_request(request.calls[call].service);
         start_call(request, call, send_purpose::first, now, out);
     }
-    review(asked.token, now, out);
+    review(token, now, out);
 }
 
 void gateway::on(const caller_left& left, time_point now, gateway_commands& out)
 {
+    m_token_waiters.remove(left.token);
     open_request* request = find(left.token);
     if (request == nullptr) {
         return;
@@ -124,7 +208,7 @@
     }
     m_settings = read.read;
     m_admission.catalogue_changed(m_settings);
-    m_rates.catalogue_changed(m_settings);
+    m_rates.catalogue_changed(m_settings, now);
     m_sender.catalogue_changed(m_settings);
     serve_all_waiting(now, out);
 }
@@ -160,16 +244,21 @@
 {
     m_peers.received(datagram, now, out);
     follow_fleet_size(now, out);
+    for (const token_grant& grant : datagram.datagram.grants) {
+        serve_token_waiters(grant.workspace, now, out);
+        if (m_token_waiters.count(grant.workspace) > 0) {
+            ask_for_tokens(grant.workspace, now, out);
+        }
+    }
 }
 
 void gateway::follow_fleet_size(time_point now, gateway_commands& out)
 {
-    const std::uint32_t size = m_peers.fleet_size(now);
+    const std::uint32_t size = m_members.fleet_size(now);
     if (size == m_fleet_size) {
         return;
     }
     m_fleet_size = size;
-    m_rates.fleet_changed(size);
     m_sender.fleet_changed(size);
     out.push_back(
         gateway_log{static_cast<std::uint32_t>(log_code::fleet_size_changed),
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -7,6 +7,7 @@
 #include "core/gateway_peers.hpp"
 #include "core/gateway_settings.hpp"
 #include "core/random_source.hpp"
+#include "systems/rates/token_waiters.hpp"
 #include "tables/due_queue.hpp"
 
 namespace cranberrywood {
@@ -65,6 +66,17 @@
             gateway_commands& out);
     void follow_fleet_size(time_point now, gateway_commands& out);
 
+    void settle(caller_token token, admission_result admitted, time_point now,
+                gateway_commands& out);
+    void begin(std::unique_ptr<open_request> row, time_point now,
+               gateway_commands& out);
+    void wait_for_token(const caller_asked& asked, workspace_id workspace,
+                        time_point now, gateway_commands& out);
+    void ask_for_tokens(workspace_id workspace, time_point now,
+                        gateway_commands& out);
+    void serve_token_waiters(workspace_id workspace, time_point now,
+                             gateway_commands& out);
+    void look_after_waiters(time_point now, gateway_commands& out);
     void start_call(open_request& request, std::uint32_t call,
                     send_purpose purpose, time_point now,
                     gateway_commands& out);
@@ -88,11 +100,14 @@
     time_point next_look(const open_request& request, time_point now) const;
     open_request* find(caller_token token);
 
+    member_directory m_members;
+    rate_slices m_rates;
+    token_waiters m_token_waiters;
     server_table m_servers;
     server_directory m_directory;
     server_choice m_choice;
     waiting_calls m_waiting;
-    rate_slices m_rates;
+
     call_sender m_sender;
     gateway_admission m_admission;
     gateway_peers m_peers;
@@ -101,6 +116,7 @@
     open_requests m_requests;
     due_queue<caller_token> m_due;
     time_point m_next_sweep;
+    time_point m_next_token_look = time_point::max();
 };
 
 } // namespace cranberrywood
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -38,8 +38,8 @@
     m_settings = std::move(settings);
 }
 
-std::variant<std::unique_ptr<open_request>, refused_answer>
-gateway_admission::admit(const caller_asked& asked, time_point now)
+admission_result gateway_admission::admit(const caller_asked& asked,
+                                          time_point now)
 {
     if (m_settings == nullptr) {
         return refused_answer{refusal_reason::not_ready, min_retry_after};
@@ -71,9 +71,13 @@
         return refused_answer{refusal_reason::overloaded, bounded_retry(*wait)};
     }
     if (request->workspace.is_set()) {
-        if (const auto wait = m_rates.take(request->workspace, now)) {
+        const take_outcome taken = m_rates.take(request->workspace, now);
+        if (taken.result == take_result::ask_others) {
+            return token_needed{request->workspace};
+        }
+        if (taken.result == take_result::refused) {
             return refused_answer{refusal_reason::over_rate,
-                                  bounded_retry(*wait)};
+                                  bounded_retry(taken.retry_after)};
         }
     }
     return request;
--- a/src/core/gateway_admission.hpp
+++ b/src/core/gateway_admission.hpp
@@ -9,6 +9,15 @@
 
 namespace cranberrywood {
 
+/** A request could run once its workspace has a token here. */
+struct token_needed
+{
+    workspace_id workspace;
+};
+
+using admission_result =
+    std::variant<std::unique_ptr<open_request>, refused_answer, token_needed>;
+
 /**
  * Decides whether a caller's request is taken: route, key, rate, and whether
  * its services can be expected to serve it in time.
@@ -22,8 +31,7 @@
     void catalogue_changed(std::shared_ptr<const catalogue> settings);
 
     /** Returns the row of a request that is taken, else why it is not. */
-    std::variant<std::unique_ptr<open_request>, refused_answer>
-    admit(const caller_asked& asked, time_point now);
+    admission_result admit(const caller_asked& asked, time_point now);
 
 private:
     std::optional<duration> too_long_wait(const open_request& request,
--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -20,22 +20,21 @@
     duration age{0};
 };
 
-/** Asks for a part of the receiver's slice of a workspace's rate. */
-struct rate_ask
+/** Asks for tokens of a workspace's rate. */
+struct token_ask
 {
     /** Number of the ask; the grant repeats it. */
     std::uint64_t ask = 0;
     workspace_id workspace;
-    /** Thousandths of a request a second. */
-    std::uint64_t rate_milli = 0;
+    std::uint64_t tokens = 0;
 };
 
-/** Lends a part of the sender's slice until a time after the ask was sent. */
-struct rate_grant
+/** Lends tokens until a time after the ask was sent; may lend none. */
+struct token_grant
 {
     std::uint64_t ask = 0;
     workspace_id workspace;
-    std::uint64_t rate_milli = 0;
+    std::uint64_t tokens = 0;
     duration term{0};
 };
 
@@ -48,8 +47,8 @@
     /** The sender has run long enough to know the fleet. */
     bool settled = false;
     std::vector<member_hint> members;
-    std::vector<rate_ask> asks;
-    std::vector<rate_grant> grants;
+    std::vector<token_ask> asks;
+    std::vector<token_grant> grants;
 };
 
 } // namespace cranberrywood
--- a/src/core/gateway_peers.cpp
+++ b/src/core/gateway_peers.cpp
@@ -10,17 +10,18 @@
 using namespace std::chrono_literals;
 
 constexpr duration heartbeat_interval = 500ms;
-/** Interval at which slices are compared with the demand. */
+/** Interval in the first moments, in which a VM gets to know the fleet. */
+constexpr duration first_interval = 150ms;
+constexpr duration first_time = 2s;
+/** Interval at which tokens in hand are compared with the demand. */
 constexpr duration ask_interval = 200ms;
 
 } // namespace
 
-gateway_peers::gateway_peers(member_identity identity, incarnation process,
-                             rate_slices& rates, random_source& random,
-                             time_point now)
-    : m_process(process), m_rates(rates),
-      m_members(std::move(identity), random, now), m_next_heartbeat(now),
-      m_next_asks(now + ask_interval)
+gateway_peers::gateway_peers(member_directory& members, incarnation process,
+                             rate_slices& rates, time_point now)
+    : m_process(process), m_rates(rates), m_members(members), m_started(now),
+      m_next_heartbeat(now), m_next_asks(now + ask_interval)
 {
 }
 
@@ -29,14 +30,12 @@
 {
     const gateway_datagram& datagram = event.datagram;
     m_members.received(event.from, datagram, now);
-    for (const rate_grant& grant : datagram.grants) {
-        m_rates.borrowed(event.from, grant);
+    for (const token_grant& grant : datagram.grants) {
+        m_rates.borrowed(grant, now);
     }
     gateway_datagram answer;
-    for (const rate_ask& ask : datagram.asks) {
-        if (const auto grant = m_rates.lend(event.from, ask, now)) {
-            answer.grants.push_back(*grant);
-        }
+    for (const token_ask& ask : datagram.asks) {
+        answer.grants.push_back(m_rates.lend(ask, now));
     }
     if (!answer.grants.empty()) {
         m_members.describe(answer, now);
@@ -49,12 +48,14 @@
 void gateway_peers::tick(time_point now, gateway_commands& out)
 {
     if (now >= m_next_heartbeat) {
-        m_next_heartbeat = now + heartbeat_interval;
+        m_next_heartbeat =
+            now + (now - m_started < first_time ? first_interval
+                                                : heartbeat_interval);
         send_heartbeats(now, out);
     }
     if (now >= m_next_asks) {
         m_next_asks = now + ask_interval;
-        send_asks(now, out);
+        send_asks(m_rates.asks_ahead(now), now, out);
     }
 }
 
@@ -78,10 +79,11 @@
     }
 }
 
-void gateway_peers::send_asks(time_point now, gateway_commands& out)
+void gateway_peers::send_asks(const std::vector<addressed_ask>& asks,
+                              time_point now, gateway_commands& out)
 {
     std::map<std::string, gateway_datagram> by_peer;
-    for (const addressed_ask& ask : m_rates.asks(m_members.live(now), now)) {
+    for (const addressed_ask& ask : asks) {
         by_peer[ask.to].asks.push_back(ask.ask);
     }
     for (auto& [to, datagram] : by_peer) {
--- a/src/core/gateway_peers.hpp
+++ b/src/core/gateway_peers.hpp
@@ -11,27 +11,25 @@
 class gateway_peers
 {
 public:
-    gateway_peers(member_identity identity, incarnation process,
-                  rate_slices& rates, random_source& random, time_point now);
+    gateway_peers(member_directory& members, incarnation process,
+                  rate_slices& rates, time_point now);
 
     void received(const datagram_received& event, time_point now,
                   gateway_commands& out);
     void tick(time_point now, gateway_commands& out);
     time_point next_wakeup() const;
-
-    std::uint32_t fleet_size(time_point now) const
-    {
-        return m_members.fleet_size(now);
-    }
+    /** Sends asks for tokens, those to one VM together. */
+    void send_asks(const std::vector<addressed_ask>& asks, time_point now,
+                   gateway_commands& out);
 
 private:
     gateway_datagram heartbeat(time_point now);
     void send_heartbeats(time_point now, gateway_commands& out);
-    void send_asks(time_point now, gateway_commands& out);
 
     incarnation m_process;
     rate_slices& m_rates;
-    member_directory m_members;
+    member_directory& m_members;
+    time_point m_started;
     time_point m_next_heartbeat;
     time_point m_next_asks;
 };
--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -10,7 +10,9 @@
 using namespace std::chrono_literals;
 
 /** Time in which a fleet that starts together gets to know itself. */
-constexpr duration settling_time = 2s;
+constexpr duration settling_time = 1500ms;
+/** Time after which a VM goes by those it knows, though it heard of more. */
+constexpr duration longest_settling = 10s;
 /** Silence after which a VM is not asked for anything. */
 constexpr duration live_time = 2500ms;
 /** Silence after which a VM no longer counts. */
@@ -33,14 +35,12 @@
                                 const gateway_datagram& datagram,
                                 time_point now)
 {
-    m_heard[from] = now;
+    heard(from, now);
     for (const member_hint& hint : datagram.members) {
         if (hint.address == m_identity.self || hint.age > memory) {
             continue;
         }
-        const time_point heard = now - hint.age;
-        auto& known = m_heard.try_emplace(hint.address, heard).first->second;
-        known = std::max(known, heard);
+        heard(hint.address, now - hint.age);
     }
     m_told_by_settled = m_told_by_settled || datagram.settled;
     if (datagram.fleet_size >= m_told_size || now - m_told_at > told_memory) {
@@ -49,6 +49,40 @@
     }
 }
 
+void member_directory::heard(const std::string& address, time_point at)
+{
+    const auto [known, added] = m_heard.try_emplace(address, at);
+    m_version += added ? 1 : 0;
+    known->second = std::max(known->second, at);
+}
+
+bool member_directory::is_live(const std::string& address, time_point now) const
+{
+    const auto known = m_heard.find(address);
+    return known != m_heard.end() && now - known->second <= live_time;
+}
+
+std::vector<std::string> member_directory::ranked(std::uint64_t key,
+                                                  std::size_t most) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    order.reserve(m_heard.size() + 1);
+    const auto rank = [&](const std::string& address) {
+        order.emplace_back(stable_hash(key, stable_hash(address)), address);
+    };
+    rank(m_identity.self);
+    for (const auto& [address, at] : m_heard) {
+        rank(address);
+    }
+    std::sort(order.begin(), order.end());
+    order.resize(std::min(order.size(), most));
+    std::vector<std::string> addresses;
+    for (auto& [hash, address] : order) {
+        addresses.push_back(std::move(address));
+    }
+    return addresses;
+}
+
 // Seeds are asked until somebody is heard, and now and then afterwards, so
 // that two halves of a fleet that lost each other find together again.
 std::vector<std::string> member_directory::heartbeat_targets(time_point now)
@@ -123,16 +157,25 @@
 void member_directory::forget_silent(time_point now)
 {
     for (auto it = m_heard.begin(); it != m_heard.end();) {
-        it = now - it->second > memory ? m_heard.erase(it) : std::next(it);
+        if (now - it->second > memory) {
+            it = m_heard.erase(it);
+            ++m_version;
+        } else {
+            ++it;
+        }
     }
 }
 
 bool member_directory::settled(time_point now) const
 {
-    if (m_told_by_settled || alone()) {
+    if (alone()) {
         return true;
     }
-    return !m_heard.empty() && now - m_started >= settling_time;
+    const duration age = now - m_started;
+    const bool knows_all = m_heard.size() + 1 >= m_told_size;
+    const bool had_time = m_told_by_settled || age >= settling_time;
+    return !m_heard.empty() &&
+           ((knows_all && had_time) || age >= longest_settling);
 }
 
 /** Returns whether nobody else can be in the fleet. */
--- a/src/systems/members/member_directory.hpp
+++ b/src/systems/members/member_directory.hpp
@@ -42,12 +42,30 @@
 
     /** Returns how many VMs may share the limits of the fleet. */
     std::uint32_t fleet_size(time_point now) const;
+    /** Returns whether the VM at an address was heard from a moment ago. */
+    bool is_live(const std::string& address, time_point now) const;
+    /**
+     * Returns the first of all known VMs, this one included, in an order
+     * that depends on the key and is the same at every VM.
+     */
+    std::vector<std::string> ranked(std::uint64_t key, std::size_t most) const;
+    /** Returns whether this VM has had the time to know the fleet. */
+    bool settled(time_point now) const;
+    /** Changes whenever a VM is learnt or forgotten. */
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+    const std::string& self() const
+    {
+        return m_identity.self;
+    }
     /** Returns VMs that were heard from a moment ago, in random order. */
     std::vector<std::string> live(time_point now);
 
 private:
     void forget_silent(time_point now);
-    bool settled(time_point now) const;
+    void heard(const std::string& address, time_point at);
     bool alone() const;
     void shuffle(std::vector<std::string>& addresses);
 
@@ -55,6 +73,7 @@
     random_source& m_random;
     time_point m_started;
     std::map<std::string, time_point> m_heard;
+    std::uint64_t m_version = 1;
     bool m_told_by_settled = false;
     std::uint32_t m_told_size = 1;
     time_point m_told_at;
--- a/src/systems/rates/rate_slices.cpp
+++ b/src/systems/rates/rate_slices.cpp
@@ -9,120 +9,158 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t milli = 1000;
+/** Holders of a workspace at least, so that the loss of a few is borne. */
+constexpr std::size_t min_holders = 4;
+/** Rate in requests a second for which one more VM holds a slice. */
+constexpr double rate_per_holder = 5.0;
 /** Term of a loan, counted by the borrower from its ask. */
-constexpr duration loan_term = 2s;
+constexpr duration loan_term = 1s;
 /** Margin before the end of the term at which a borrower stops. */
-constexpr duration term_margin = 50ms;
-/** A loan that ends this soon is asked for again. */
-constexpr duration renew_before = 800ms;
-/** Asks without a grant are forgotten after the term. */
-constexpr std::size_t peers_asked = 8;
-/** Least rate that is worth a loan: a fifth of a request a second. */
-constexpr std::uint64_t least_loan = milli / 5;
-/** Part of a second's rate that loans add to the burst. */
-constexpr std::uint64_t loan_burst_divisor = 2;
-
-/** Demand with room for its variation, in percent of the average. */
-constexpr std::uint64_t needed_percent = 130;
-constexpr std::uint64_t kept_percent = 130;
-/** Part of its own slice that a VM never lends, for demand that begins. */
-constexpr std::uint64_t kept_divisor = 8;
+constexpr duration term_margin = 20ms;
+/** Holders that are asked at once. */
+constexpr std::size_t asked_at_once = 2;
+/** Time after which an ask without an answer is taken for lost. */
+constexpr duration ask_timeout = 15ms;
+/** Time for which nobody is asked after every holder had none. */
+constexpr duration dry_time = 100ms;
+/** Tokens lent at once at most. */
+constexpr std::uint64_t max_loan = 16;
+/** Demand that is borrowed for ahead, and that a lender keeps for itself. */
+constexpr duration ahead = 300ms;
+constexpr duration kept = 200ms;
 
 } // namespace
 
-void rate_slices::catalogue_changed(std::shared_ptr<const catalogue> limits)
+rate_slices::rate_slices(const member_directory& members) : m_members(members)
 {
-    m_limits = std::move(limits);
 }
 
-void rate_slices::fleet_changed(std::uint32_t vms)
+// Slices begin to fill when their workspaces are learnt, not with their first
+// requests.
+void rate_slices::catalogue_changed(std::shared_ptr<const catalogue> limits,
+                                    time_point now)
 {
-    m_vms = std::max(1U, vms);
+    m_limits = std::move(limits);
+    m_holders.clear();
+    for (const auto& [workspace, entry] : m_limits->workspaces()) {
+        slice_of(workspace, now);
+    }
 }
 
-std::optional<duration> rate_slices::take(workspace_id workspace,
-                                          time_point now)
+take_outcome rate_slices::take(workspace_id workspace, time_point now)
 {
     const workspace_entry* entry = limited(workspace);
     if (entry == nullptr) {
-        return std::nullopt;
+        return {};
     }
     slice& s = slice_of(workspace, now);
     s.demand.add(1, now);
-    const std::uint64_t rate = rate_of(*entry, s, now);
-    const auto burst = static_cast<std::uint64_t>(entry->burst * milli / m_vms);
-    const std::uint64_t room = std::max(
-        tokens_per_request, burst + sum(s.held, now) / loan_burst_divisor);
-    s.tokens.refill(rate, room, now);
-    if (s.tokens.tokens() >= tokens_per_request) {
-        s.tokens.take(tokens_per_request);
-        return std::nullopt;
+    drop_ended(s, now);
+    for (loan& l : s.loans) {
+        if (l.tokens >= tokens_per_request) {
+            l.tokens -= tokens_per_request;
+            return {};
+        }
+    }
+    refill(*entry, s, now);
+    if (s.own.tokens() >= tokens_per_request) {
+        s.own.take(tokens_per_request);
+        return {};
     }
-    const std::uint64_t missing = tokens_per_request - s.tokens.tokens();
-    return duration(1s) * missing / std::max<std::uint64_t>(1, rate);
+    const duration spacing = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(1.0 / entry->rate));
+    return {now < s.dry_until ? take_result::refused : take_result::ask_others,
+            std::max<duration>(dry_time, spacing)};
 }
 
-std::vector<addressed_ask>
-rate_slices::asks(const std::vector<std::string>& peers, time_point now)
+std::vector<addressed_ask> rate_slices::asks_for(workspace_id workspace,
+                                                 std::uint32_t waiting,
+                                                 time_point now)
 {
+    const workspace_entry* entry = limited(workspace);
+    if (entry == nullptr) {
+        return {};
+    }
+    slice& s = slice_of(workspace, now);
+    if (s.unanswered > 0 && now - s.asked_at < ask_timeout) {
+        return {};
+    }
+    s.unanswered = 0;
+    std::vector<addressed_ask> asks;
+    const std::uint64_t soon = s.demand.expected_within(ahead, now);
+    const std::uint64_t tokens = std::min<std::uint64_t>(
+        max_loan, std::max<std::uint64_t>(waiting, soon));
+    for (const std::string& holder : holders_of(*entry).addresses) {
+        if (asks.size() == asked_at_once) {
+            break;
+        }
+        const bool asked =
+            std::find(s.asked.begin(), s.asked.end(), holder) != s.asked.end();
+        if (!asked && m_members.is_live(holder, now)) {
+            s.asked.push_back(holder);
+            asks.push_back(ask(holder, workspace, tokens, now));
+        }
+    }
+    s.unanswered = static_cast<std::uint32_t>(asks.size());
+    s.asked_at = now;
+    if (asks.empty()) {
+        s.asked.clear();
+        s.dry_until = now + dry_time;
+    }
+    return asks;
+}
+
+std::vector<addressed_ask> rate_slices::asks_ahead(time_point now)
+{
+    forget_old_asks(now);
     std::vector<addressed_ask> asks;
-    m_asks.erase(m_asks.begin(),
-                 std::find_if(m_asks.begin(), m_asks.end(), [&](const auto& a) {
-                     return now - a.second.at < loan_term;
-                 }));
-    const std::size_t asked = std::min(peers.size(), peers_asked);
     for (auto& [workspace, s] : m_slices) {
         const workspace_entry* entry = limited(workspace);
-        if (entry == nullptr || asked == 0) {
+        if (entry == nullptr || now < s.dry_until) {
             continue;
         }
-        const std::uint64_t demand =
-            s.demand.expected_within(1s, now) * milli * needed_percent / 100;
-        const std::uint64_t lasting =
-            own_milli(*entry) - std::min(own_milli(*entry), sum(s.lent, now)) +
-            sum_after(s.held, now + renew_before);
-        if (demand <= lasting) {
+        drop_ended(s, now);
+        refill(*entry, s, now);
+        const std::uint64_t needed =
+            s.demand.expected_within(ahead, now) * tokens_per_request;
+        const std::uint64_t in_hand = tokens_in_hand(s);
+        if (needed < in_hand + tokens_per_request) {
             continue;
         }
-        const std::uint64_t each =
-            std::max(least_loan, (demand - lasting) * 2 / asked);
-        for (std::size_t i = 0; i < asked; ++i) {
-            m_asks[++m_last_ask] = {workspace, now};
-            asks.push_back({peers[i], {m_last_ask, workspace, each}});
+        const std::uint64_t tokens =
+            std::min(max_loan, (needed - in_hand) / tokens_per_request);
+        const auto& holders = holders_of(*entry).addresses;
+        for (std::size_t i = 0; i < holders.size(); ++i) {
+            const std::string& holder =
+                holders[(m_last_ask + i) % holders.size()];
+            if (m_members.is_live(holder, now)) {
+                asks.push_back(ask(holder, workspace, tokens, now));
+                break;
+            }
         }
     }
     return asks;
 }
 
-// A borrower that asks again may still use its last loan, so the lender
-// counts the greater of the two until the last one has ended.
-std::optional<rate_grant> rate_slices::lend(const std::string& to,
-                                            const rate_ask& ask, time_point now)
+token_grant rate_slices::lend(const token_ask& ask, time_point now)
 {
+    token_grant grant{ask.ask, ask.workspace, 0, loan_term};
     const workspace_entry* entry = limited(ask.workspace);
     if (entry == nullptr) {
-        return std::nullopt;
+        return grant;
     }
     slice& s = slice_of(ask.workspace, now);
-    const std::uint64_t own = own_milli(*entry);
-    const std::uint64_t demand =
-        s.demand.expected_within(1s, now) * milli * kept_percent / 100;
-    const std::uint64_t lent_to_all = sum(s.lent, now);
-    const auto running = s.lent.find(to);
-    const std::uint64_t last =
-        running == s.lent.end() ? 0 : running->second.rate_milli;
-    const std::uint64_t used =
-        std::max(demand, own / kept_divisor) + lent_to_all - last;
-    const std::uint64_t lent =
-        std::min(ask.rate_milli, own > used ? own - used : 0);
-    if (lent < least_loan) {
-        return std::nullopt;
-    }
-    s.lent[to] = {std::max(lent, last), now + loan_term};
-    return rate_grant{ask.ask, ask.workspace, lent, loan_term};
-}
-
-void rate_slices::borrowed(const std::string& from, const rate_grant& grant)
+    refill(*entry, s, now);
+    const std::uint64_t reserve =
+        s.demand.expected_within(kept, now) * tokens_per_request;
+    const std::uint64_t spare =
+        s.own.tokens() > reserve ? s.own.tokens() - reserve : 0;
+    grant.tokens = std::min({ask.tokens, max_loan, spare / tokens_per_request});
+    s.own.take(grant.tokens * tokens_per_request);
+    return grant;
+}
+
+void rate_slices::borrowed(const token_grant& grant, time_point now)
 {
     const auto found = m_asks.find(grant.ask);
     if (found == m_asks.end() || found->second.workspace != grant.workspace) {
@@ -130,16 +168,23 @@
     }
     const time_point asked_at = found->second.at;
     m_asks.erase(found);
-    slice& s = slice_of(grant.workspace, asked_at);
-    s.held[from] = {grant.rate_milli,
-                    asked_at + std::min(grant.term, loan_term) - term_margin};
+    slice& s = slice_of(grant.workspace, now);
+    s.unanswered -= s.unanswered > 0 ? 1 : 0;
+    if (grant.tokens == 0) {
+        return;
+    }
+    s.asked.clear();
+    s.dry_until = time_point();
+    s.loans.push_back(
+        {std::min(grant.tokens, max_loan) * tokens_per_request,
+         asked_at + std::min(grant.term, loan_term) - term_margin});
 }
 
-std::uint64_t rate_slices::rate_milli(workspace_id workspace, time_point now)
+bool rate_slices::is_holder(workspace_id workspace, time_point now)
 {
     const workspace_entry* entry = limited(workspace);
-    return entry == nullptr ? 0
-                            : rate_of(*entry, slice_of(workspace, now), now);
+    return entry != nullptr && m_members.settled(now) &&
+           holders_of(*entry).self;
 }
 
 const workspace_entry* rate_slices::limited(workspace_id workspace) const
@@ -159,40 +204,78 @@
     return m_slices.try_emplace(workspace, now).first->second;
 }
 
-std::uint64_t rate_slices::own_milli(const workspace_entry& entry) const
+const rate_slices::holder_set&
+rate_slices::holders_of(const workspace_entry& entry)
 {
-    return static_cast<std::uint64_t>(entry.rate * milli / m_vms);
+    if (m_members.version() != m_members_version) {
+        m_members_version = m_members.version();
+        m_holders.clear();
+    }
+    const auto known = m_holders.find(entry.id);
+    if (known != m_holders.end()) {
+        return known->second;
+    }
+    const auto wanted = std::max(
+        min_holders, static_cast<std::size_t>(entry.rate / rate_per_holder));
+    holder_set set;
+    for (const std::string& address :
+         m_members.ranked(entry.id.value(), wanted)) {
+        if (address == m_members.self()) {
+            set.self = true;
+        } else {
+            set.addresses.push_back(address);
+        }
+    }
+    return m_holders.emplace(entry.id, std::move(set)).first->second;
 }
 
-std::uint64_t rate_slices::rate_of(const workspace_entry& entry, slice& s,
-                                   time_point now) const
+// A slice holds one token at least, or a small burst would be lost in parts
+// that admit nothing; so the burst may be passed by the number of holders.
+void rate_slices::refill(const workspace_entry& entry, slice& s, time_point now)
 {
-    const std::uint64_t own = own_milli(entry);
-    const std::uint64_t lent = sum(s.lent, now);
-    return own - std::min(own, lent) + sum(s.held, now);
+    const holder_set& set = holders_of(entry);
+    if (!set.self || !m_members.settled(now)) {
+        s.own.refill(0, 0, now);
+        return;
+    }
+    const auto holders = static_cast<double>(set.addresses.size() + 1);
+    const auto rate = static_cast<std::uint64_t>(entry.rate * milli / holders);
+    const auto burst =
+        static_cast<std::uint64_t>(entry.burst * milli / holders);
+    s.own.refill(rate, std::max(burst, tokens_per_request), now);
 }
 
-std::uint64_t rate_slices::sum(loans& of, time_point now)
+void rate_slices::drop_ended(slice& s, time_point now)
 {
-    std::uint64_t total = 0;
-    for (auto it = of.begin(); it != of.end();) {
-        if (it->second.until <= now) {
-            it = of.erase(it);
-        } else {
-            total += it->second.rate_milli;
-            ++it;
-        }
-    }
-    return total;
+    s.loans.erase(std::remove_if(s.loans.begin(), s.loans.end(),
+                                 [&](const loan& l) {
+                                     return l.until <= now || l.tokens == 0;
+                                 }),
+                  s.loans.end());
 }
 
-std::uint64_t rate_slices::sum_after(const loans& of, time_point at)
+std::uint64_t rate_slices::tokens_in_hand(const slice& s)
 {
-    std::uint64_t total = 0;
-    for (const auto& [from, l] : of) {
-        total += l.until > at ? l.rate_milli : 0;
+    std::uint64_t tokens = s.own.tokens();
+    for (const loan& l : s.loans) {
+        tokens += l.tokens;
     }
-    return total;
+    return tokens;
+}
+
+addressed_ask rate_slices::ask(const std::string& to, workspace_id workspace,
+                               std::uint64_t tokens, time_point now)
+{
+    m_asks[++m_last_ask] = {workspace, now};
+    return {to, {m_last_ask, workspace, tokens}};
+}
+
+void rate_slices::forget_old_asks(time_point now)
+{
+    m_asks.erase(m_asks.begin(),
+                 std::find_if(m_asks.begin(), m_asks.end(), [&](const auto& a) {
+                     return now - a.second.at < loan_term;
+                 }));
 }
 
 } // namespace cranberrywood
--- a/src/systems/rates/rate_slices.hpp
+++ b/src/systems/rates/rate_slices.hpp
@@ -3,6 +3,7 @@
 
 #include "core/gateway_datagram.hpp"
 #include "systems/demand_estimate.hpp"
+#include "systems/members/member_directory.hpp"
 #include "systems/token_bucket.hpp"
 #include "tables/catalogue.hpp"
 
@@ -17,73 +18,107 @@
 struct addressed_ask
 {
     std::string to;
-    rate_ask ask;
+    token_ask ask;
+};
+
+enum class take_result : std::uint8_t
+{
+    /** The request may run. */
+    granted,
+    /** No token is here; other VMs may have one. */
+    ask_others,
+    /** No token is here, and others had none a moment ago. */
+    refused,
+};
+
+struct take_outcome
+{
+    take_result result = take_result::granted;
+    /** Time after which a refused request may find a token. */
+    duration retry_after{0};
 };
 
 /**
- * This VM's slices of the workspaces' rates. Each VM has an equal slice, and
- * lends what it does not need to VMs that ask. A lender deducts first, the
- * borrower stops before the term ends, and the lender takes back after it;
- * so the sum over all VMs never passes a rate, whatever is lost or cut.
+ * Tokens of the workspaces' rates. A few VMs by rendezvous hashing hold an
+ * equal slice of a workspace's rate each, and lend tokens to VMs that ask.
+ * A lender deducts before it grants, and a borrowed token ends with its
+ * term; so what is admitted never passes the rate, whatever is lost or cut.
  */
 class rate_slices
 {
 public:
+    /** The directory must outlive the slices. */
+    explicit rate_slices(const member_directory& members);
+
     /** Takes the limits of a new configuration. */
-    void catalogue_changed(std::shared_ptr<const catalogue> limits);
-    /** Takes the number of VMs that may share the limits. */
-    void fleet_changed(std::uint32_t vms);
+    void catalogue_changed(std::shared_ptr<const catalogue> limits,
+                           time_point now);
+
+    /** Takes one token of a workspace. */
+    take_outcome take(workspace_id workspace, time_point now);
 
     /**
-     * Takes one request out of a workspace's slice. Returns nothing when it
-     * had one, else the time after which it will have.
+     * Returns asks for tokens that requests wait for; none while earlier
+     * ones are on their way, or when every holder was asked in vain.
      */
-    std::optional<duration> take(workspace_id workspace, time_point now);
+    std::vector<addressed_ask> asks_for(workspace_id workspace,
+                                        std::uint32_t waiting, time_point now);
+    /** Returns asks for tokens that the demand will need in a moment. */
+    std::vector<addressed_ask> asks_ahead(time_point now);
 
-    /** Returns the asks that bring the slices up to the demand. */
-    std::vector<addressed_ask> asks(const std::vector<std::string>& peers,
-                                    time_point now);
-    /** Lends to a peer what it asks for and this VM does not need. */
-    std::optional<rate_grant> lend(const std::string& to, const rate_ask& ask,
-                                   time_point now);
-    /** Takes a loan; a grant of an ask that is not known is dropped. */
-    void borrowed(const std::string& from, const rate_grant& grant);
+    /** Lends tokens to a peer; a grant of none says that there are none. */
+    token_grant lend(const token_ask& ask, time_point now);
+    /** Takes a grant; one of an ask that is not known is dropped. */
+    void borrowed(const token_grant& grant, time_point now);
 
-    /** Returns the rate that this VM may admit, in thousandths a second. */
-    std::uint64_t rate_milli(workspace_id workspace, time_point now);
+    /** Returns whether this VM holds a slice of a workspace's rate. */
+    bool is_holder(workspace_id workspace, time_point now);
 
 private:
     struct loan
     {
-        std::uint64_t rate_milli = 0;
+        std::uint64_t tokens = 0;
         time_point until;
     };
-    using loans = std::map<std::string, loan>;
 
+    /** What this VM has of one workspace. */
     struct slice
     {
-        explicit slice(time_point now) : tokens(now) {}
-        token_bucket tokens;
+        explicit slice(time_point now) : own(now) {}
+        token_bucket own;
         demand_estimate demand;
-        loans lent;
-        loans held;
+        std::vector<loan> loans;
+        /** Holders asked since the last grant or refusal. */
+        std::vector<std::string> asked;
+        std::uint32_t unanswered = 0;
+        time_point asked_at;
+        time_point dry_until;
     };
     struct sent_ask
     {
         workspace_id workspace;
         time_point at;
     };
+    struct holder_set
+    {
+        std::vector<std::string> addresses;
+        bool self = false;
+    };
 
     const workspace_entry* limited(workspace_id workspace) const;
     slice& slice_of(workspace_id workspace, time_point now);
-    std::uint64_t own_milli(const workspace_entry& entry) const;
-    std::uint64_t rate_of(const workspace_entry& entry, slice& s,
-                          time_point now) const;
-    static std::uint64_t sum(loans& of, time_point now);
-    static std::uint64_t sum_after(const loans& of, time_point at);
+    const holder_set& holders_of(const workspace_entry& entry);
+    void refill(const workspace_entry& entry, slice& s, time_point now);
+    static void drop_ended(slice& s, time_point now);
+    static std::uint64_t tokens_in_hand(const slice& s);
+    addressed_ask ask(const std::string& to, workspace_id workspace,
+                      std::uint64_t tokens, time_point now);
+    void forget_old_asks(time_point now);
 
+    const member_directory& m_members;
     std::shared_ptr<const catalogue> m_limits;
-    std::uint32_t m_vms = 1;
+    std::uint64_t m_members_version = 0;
+    std::unordered_map<workspace_id, holder_set> m_holders;
     std::unordered_map<workspace_id, slice> m_slices;
     std::map<std::uint64_t, sent_ask> m_asks;
     std::uint64_t m_last_ask = 0;
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -9,16 +9,16 @@
   2: i64 age
 }
 
-struct rate_ask {
+struct token_ask {
   1: i64 ask
   2: i64 workspace
-  3: i64 rate_milli
+  3: i64 tokens
 }
 
-struct rate_grant {
+struct token_grant {
   1: i64 ask
   2: i64 workspace
-  3: i64 rate_milli
+  3: i64 tokens
   4: i64 term
 }
 
@@ -27,6 +27,6 @@
   2: i32 fleet_size
   3: bool settled
   4: list<member_hint> members
-  5: list<rate_ask> asks
-  6: list<rate_grant> grants
+  5: list<token_ask> asks
+  6: list<token_grant> grants
 }
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -17,21 +17,21 @@
 }
 
 template <class D>
-void copy_fields(D& copy, typename D::template core<rate_ask> c,
-                 typename D::template wired<wire::rate_ask> w)
+void copy_fields(D& copy, typename D::template core<token_ask> c,
+                 typename D::template wired<wire::token_ask> w)
 {
     copy(c.ask, w.ask);
     copy(c.workspace, w.workspace);
-    copy(c.rate_milli, w.rate_milli);
+    copy(c.tokens, w.tokens);
 }
 
 template <class D>
-void copy_fields(D& copy, typename D::template core<rate_grant> c,
-                 typename D::template wired<wire::rate_grant> w)
+void copy_fields(D& copy, typename D::template core<token_grant> c,
+                 typename D::template wired<wire::token_grant> w)
 {
     copy(c.ask, w.ask);
     copy(c.workspace, w.workspace);
-    copy(c.rate_milli, w.rate_milli);
+    copy(c.tokens, w.tokens);
     copy(c.term, w.term);
 }
 
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -126,29 +126,29 @@
 }
 
 
-rate_ask::~rate_ask() noexcept {
+token_ask::~token_ask() noexcept {
 }
 
 
-void rate_ask::__set_ask(const int64_t val) {
+void token_ask::__set_ask(const int64_t val) {
   this->ask = val;
 }
 
-void rate_ask::__set_workspace(const int64_t val) {
+void token_ask::__set_workspace(const int64_t val) {
   this->workspace = val;
 }
 
-void rate_ask::__set_rate_milli(const int64_t val) {
-  this->rate_milli = val;
+void token_ask::__set_tokens(const int64_t val) {
+  this->tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const rate_ask& obj)
+std::ostream& operator<<(std::ostream& out, const token_ask& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t rate_ask::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t token_ask::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -187,8 +187,8 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->rate_milli);
-          this->__isset.rate_milli = true;
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -205,10 +205,10 @@
   return xfer;
 }
 
-uint32_t rate_ask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t token_ask::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("rate_ask");
+  xfer += oprot->writeStructBegin("token_ask");
 
   xfer += oprot->writeFieldBegin("ask", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->ask);
@@ -218,8 +218,8 @@
   xfer += oprot->writeI64(this->workspace);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rate_milli", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->rate_milli);
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -227,64 +227,64 @@
   return xfer;
 }
 
-void swap(rate_ask &a, rate_ask &b) {
+void swap(token_ask &a, token_ask &b) {
   using ::std::swap;
   swap(a.ask, b.ask);
   swap(a.workspace, b.workspace);
-  swap(a.rate_milli, b.rate_milli);
+  swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
-rate_ask::rate_ask(const rate_ask& other2) noexcept {
+token_ask::token_ask(const token_ask& other2) noexcept {
   ask = other2.ask;
   workspace = other2.workspace;
-  rate_milli = other2.rate_milli;
+  tokens = other2.tokens;
   __isset = other2.__isset;
 }
-rate_ask& rate_ask::operator=(const rate_ask& other3) noexcept {
+token_ask& token_ask::operator=(const token_ask& other3) noexcept {
   ask = other3.ask;
   workspace = other3.workspace;
-  rate_milli = other3.rate_milli;
+  tokens = other3.tokens;
   __isset = other3.__isset;
   return *this;
 }
-void rate_ask::printTo(std::ostream& out) const {
+void token_ask::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "rate_ask(";
+  out << "token_ask(";
   out << "ask=" << to_string(ask);
   out << ", " << "workspace=" << to_string(workspace);
-  out << ", " << "rate_milli=" << to_string(rate_milli);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
 
 
-rate_grant::~rate_grant() noexcept {
+token_grant::~token_grant() noexcept {
 }
 
 
-void rate_grant::__set_ask(const int64_t val) {
+void token_grant::__set_ask(const int64_t val) {
   this->ask = val;
 }
 
-void rate_grant::__set_workspace(const int64_t val) {
+void token_grant::__set_workspace(const int64_t val) {
   this->workspace = val;
 }
 
-void rate_grant::__set_rate_milli(const int64_t val) {
-  this->rate_milli = val;
+void token_grant::__set_tokens(const int64_t val) {
+  this->tokens = val;
 }
 
-void rate_grant::__set_term(const int64_t val) {
+void token_grant::__set_term(const int64_t val) {
   this->term = val;
 }
-std::ostream& operator<<(std::ostream& out, const rate_grant& obj)
+std::ostream& operator<<(std::ostream& out, const token_grant& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t rate_grant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t token_grant::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -323,8 +323,8 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->rate_milli);
-          this->__isset.rate_milli = true;
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -349,10 +349,10 @@
   return xfer;
 }
 
-uint32_t rate_grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t token_grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("rate_grant");
+  xfer += oprot->writeStructBegin("token_grant");
 
   xfer += oprot->writeFieldBegin("ask", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->ask);
@@ -362,8 +362,8 @@
   xfer += oprot->writeI64(this->workspace);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rate_milli", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->rate_milli);
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
@@ -375,36 +375,36 @@
   return xfer;
 }
 
-void swap(rate_grant &a, rate_grant &b) {
+void swap(token_grant &a, token_grant &b) {
   using ::std::swap;
   swap(a.ask, b.ask);
   swap(a.workspace, b.workspace);
-  swap(a.rate_milli, b.rate_milli);
+  swap(a.tokens, b.tokens);
   swap(a.term, b.term);
   swap(a.__isset, b.__isset);
 }
 
-rate_grant::rate_grant(const rate_grant& other4) noexcept {
+token_grant::token_grant(const token_grant& other4) noexcept {
   ask = other4.ask;
   workspace = other4.workspace;
-  rate_milli = other4.rate_milli;
+  tokens = other4.tokens;
   term = other4.term;
   __isset = other4.__isset;
 }
-rate_grant& rate_grant::operator=(const rate_grant& other5) noexcept {
+token_grant& token_grant::operator=(const token_grant& other5) noexcept {
   ask = other5.ask;
   workspace = other5.workspace;
-  rate_milli = other5.rate_milli;
+  tokens = other5.tokens;
   term = other5.term;
   __isset = other5.__isset;
   return *this;
 }
-void rate_grant::printTo(std::ostream& out) const {
+void token_grant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "rate_grant(";
+  out << "token_grant(";
   out << "ask=" << to_string(ask);
   out << ", " << "workspace=" << to_string(workspace);
-  out << ", " << "rate_milli=" << to_string(rate_milli);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "term=" << to_string(term);
   out << ")";
 }
@@ -430,11 +430,11 @@
   this->members = val;
 }
 
-void gateway_datagram::__set_asks(const std::vector<rate_ask> & val) {
+void gateway_datagram::__set_asks(const std::vector<token_ask> & val) {
   this->asks = val;
 }
 
-void gateway_datagram::__set_grants(const std::vector<rate_grant> & val) {
+void gateway_datagram::__set_grants(const std::vector<token_grant> & val) {
   this->grants = val;
 }
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
@@ -593,7 +593,7 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<rate_ask> ::const_iterator _iter22;
+    std::vector<token_ask> ::const_iterator _iter22;
     for (_iter22 = this->asks.begin(); _iter22 != this->asks.end(); ++_iter22)
     {
       xfer += (*_iter22).write(oprot);
@@ -605,7 +605,7 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<rate_grant> ::const_iterator _iter23;
+    std::vector<token_grant> ::const_iterator _iter23;
     for (_iter23 = this->grants.begin(); _iter23 != this->grants.end(); ++_iter23)
     {
       xfer += (*_iter23).write(oprot);
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -23,9 +23,9 @@
 
 class member_hint;
 
-class rate_ask;
+class token_ask;
 
-class rate_grant;
+class token_grant;
 
 class gateway_datagram;
 
@@ -79,52 +79,52 @@
 
 std::ostream& operator<<(std::ostream& out, const member_hint& obj);
 
-typedef struct _rate_ask__isset {
-  _rate_ask__isset() : ask(false), workspace(false), rate_milli(false) {}
+typedef struct _token_ask__isset {
+  _token_ask__isset() : ask(false), workspace(false), tokens(false) {}
   bool ask :1;
   bool workspace :1;
-  bool rate_milli :1;
-} _rate_ask__isset;
+  bool tokens :1;
+} _token_ask__isset;
 
-class rate_ask : public virtual ::apache::thrift::TBase {
+class token_ask : public virtual ::apache::thrift::TBase {
  public:
 
-  rate_ask(const rate_ask&) noexcept;
-  rate_ask& operator=(const rate_ask&) noexcept;
-  rate_ask() noexcept
-           : ask(0),
-             workspace(0),
-             rate_milli(0) {
+  token_ask(const token_ask&) noexcept;
+  token_ask& operator=(const token_ask&) noexcept;
+  token_ask() noexcept
+            : ask(0),
+              workspace(0),
+              tokens(0) {
   }
 
-  virtual ~rate_ask() noexcept;
+  virtual ~token_ask() noexcept;
   int64_t ask;
   int64_t workspace;
-  int64_t rate_milli;
+  int64_t tokens;
 
-  _rate_ask__isset __isset;
+  _token_ask__isset __isset;
 
   void __set_ask(const int64_t val);
 
   void __set_workspace(const int64_t val);
 
-  void __set_rate_milli(const int64_t val);
+  void __set_tokens(const int64_t val);
 
-  bool operator == (const rate_ask & rhs) const
+  bool operator == (const token_ask & rhs) const
   {
     if (!(ask == rhs.ask))
       return false;
     if (!(workspace == rhs.workspace))
       return false;
-    if (!(rate_milli == rhs.rate_milli))
+    if (!(tokens == rhs.tokens))
       return false;
     return true;
   }
-  bool operator != (const rate_ask &rhs) const {
+  bool operator != (const token_ask &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const rate_ask & ) const;
+  bool operator < (const token_ask & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -132,63 +132,63 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(rate_ask &a, rate_ask &b);
+void swap(token_ask &a, token_ask &b);
 
-std::ostream& operator<<(std::ostream& out, const rate_ask& obj);
+std::ostream& operator<<(std::ostream& out, const token_ask& obj);
 
-typedef struct _rate_grant__isset {
-  _rate_grant__isset() : ask(false), workspace(false), rate_milli(false), term(false) {}
+typedef struct _token_grant__isset {
+  _token_grant__isset() : ask(false), workspace(false), tokens(false), term(false) {}
   bool ask :1;
   bool workspace :1;
-  bool rate_milli :1;
+  bool tokens :1;
   bool term :1;
-} _rate_grant__isset;
+} _token_grant__isset;
 
-class rate_grant : public virtual ::apache::thrift::TBase {
+class token_grant : public virtual ::apache::thrift::TBase {
  public:
 
-  rate_grant(const rate_grant&) noexcept;
-  rate_grant& operator=(const rate_grant&) noexcept;
-  rate_grant() noexcept
-             : ask(0),
-               workspace(0),
-               rate_milli(0),
-               term(0) {
+  token_grant(const token_grant&) noexcept;
+  token_grant& operator=(const token_grant&) noexcept;
+  token_grant() noexcept
+              : ask(0),
+                workspace(0),
+                tokens(0),
+                term(0) {
   }
 
-  virtual ~rate_grant() noexcept;
+  virtual ~token_grant() noexcept;
   int64_t ask;
   int64_t workspace;
-  int64_t rate_milli;
+  int64_t tokens;
   int64_t term;
 
-  _rate_grant__isset __isset;
+  _token_grant__isset __isset;
 
   void __set_ask(const int64_t val);
 
   void __set_workspace(const int64_t val);
 
-  void __set_rate_milli(const int64_t val);
+  void __set_tokens(const int64_t val);
 
   void __set_term(const int64_t val);
 
-  bool operator == (const rate_grant & rhs) const
+  bool operator == (const token_grant & rhs) const
   {
     if (!(ask == rhs.ask))
       return false;
     if (!(workspace == rhs.workspace))
       return false;
-    if (!(rate_milli == rhs.rate_milli))
+    if (!(tokens == rhs.tokens))
       return false;
     if (!(term == rhs.term))
       return false;
     return true;
   }
-  bool operator != (const rate_grant &rhs) const {
+  bool operator != (const token_grant &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const rate_grant & ) const;
+  bool operator < (const token_grant & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -196,9 +196,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(rate_grant &a, rate_grant &b);
+void swap(token_grant &a, token_grant &b);
 
-std::ostream& operator<<(std::ostream& out, const rate_grant& obj);
+std::ostream& operator<<(std::ostream& out, const token_grant& obj);
 
 typedef struct _gateway_datagram__isset {
   _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false) {}
@@ -226,8 +226,8 @@
   int32_t fleet_size;
   bool settled;
   std::vector<member_hint>  members;
-  std::vector<rate_ask>  asks;
-  std::vector<rate_grant>  grants;
+  std::vector<token_ask>  asks;
+  std::vector<token_grant>  grants;
 
   _gateway_datagram__isset __isset;
 
@@ -239,9 +239,9 @@
 
   void __set_members(const std::vector<member_hint> & val);
 
-  void __set_asks(const std::vector<rate_ask> & val);
+  void __set_asks(const std::vector<token_ask> & val);
 
-  void __set_grants(const std::vector<rate_grant> & val);
+  void __set_grants(const std::vector<token_grant> & val);
 
   bool operator == (const gateway_datagram & rhs) const
   {
