store: in a large fleet a few VMs read the store and the others follow them

A reader that fails or loses the store is left for another, and without readers a VM reads by itself.

--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -45,6 +45,11 @@
     {
         return m_requests.size();
     }
+    /** Returns the VMs that this one knows. */
+    const member_directory& members() const
+    {
+        return m_members;
+    }
     std::size_t server_count() const
     {
         return m_servers.size();
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -25,6 +25,8 @@
     configuration_stale = 1107,
     revision_push_broken = 1108,
     site_removed = 1109,
+    store_source_changed = 1110,
+    store_reader_failed = 1111,
     lease_acquired = 1201,
     lease_released = 1202,
     lease_lapsed = 1203,
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -21,6 +21,15 @@
 constexpr duration stop_margin = 300ms;
 constexpr const char* ready_path = "/ready";
 
+/** Contact with the store after which lapsed entries have returned. */
+constexpr duration steady_contact = 2500ms;
+
+/** The balancer's address has nothing to follow. */
+mirror_update no_updates(incarnation /*process*/, std::uint64_t /*place*/)
+{
+    return {};
+}
+
 std::uint64_t process_seed()
 {
     std::random_device device;
@@ -35,7 +44,14 @@
     : m_file(std::move(file)), m_adapter(adapter), m_log(log),
       m_io(1), m_loop{m_io, m_clock}, m_random(process_seed()),
       m_gateway(m_file.decisions, m_random, m_clock.now()),
-      m_front(m_loop, *this), m_ready_front(m_loop), m_links(m_loop, *this),
+      m_mirror(incarnation(m_random.next() | 1U)),
+      m_readers(m_gateway.members()), m_front(m_loop, *this),
+      m_ready_front(m_loop, no_updates),
+      m_control_front(m_loop,
+                      [this](incarnation process, std::uint64_t place) {
+                          return update_for_followers(process, place);
+                      }),
+      m_links(m_loop, *this),
       m_peers(
           m_loop,
           [this](const std::string& from, gateway_datagram datagram) {
@@ -50,6 +66,10 @@
       m_servers_reader(m_loop, adapter, m_file.store,
                        store_area::backend_servers, servers_pause, m_random,
                        *this),
+      m_mirror_reader(
+          m_loop,
+          [this](const mirror_update& update) { followed_update(update); },
+          [this](const std::string& why) { reader_failed(why); }),
       m_timer(m_io), m_sweep_timer(m_io), m_signals(m_io)
 {
 }
@@ -63,8 +83,7 @@
                 "data_centre=" + m_file.data_centre +
                     " callers=" + to_string(m_file.callers));
     wait_for_signals();
-    m_settings_reader.start();
-    m_servers_reader.start();
+    choose_store_source();
     sweep();
     m_io.run();
     return 0;
@@ -79,6 +98,7 @@
     });
     for (const auto& error :
          {m_front.listen(m_file.callers), m_ready_front.listen(m_file.ready),
+          m_control_front.listen(m_file.control),
           m_peers.open({m_file.host, m_file.peer_port})}) {
         if (error) {
             m_log.write(log_code::port_not_free, "address=" + *error);
@@ -133,24 +153,109 @@
 
 void gateway_process::store_read(store_area area, const followed_page& page)
 {
-    if (!m_store_contact) {
-        m_store_contact = true;
-        m_log.write(log_code::configuration_answered, "store=reachable");
-        handle(store_contact{true});
-    }
+    contact_changed(true, "");
     for (const gateway_event& event : m_view.apply(area, page)) {
         handle(event);
     }
     settings_changed();
+    if (m_mirror.apply(area, page)) {
+        m_control_front.news(m_mirror.place());
+    }
 }
 
 void gateway_process::store_failed(store_area /*area*/, const std::string& why)
 {
-    if (m_store_contact) {
-        m_store_contact = false;
+    contact_changed(false, why);
+}
+
+void gateway_process::contact_changed(bool reachable, const std::string& why)
+{
+    if (reachable == m_store_contact) {
+        return;
+    }
+    m_store_contact = reachable;
+    m_contact_since = m_clock.now();
+    if (reachable) {
+        m_log.write(log_code::configuration_answered,
+                    "through=" + (m_followed.empty() ? "store" : m_followed));
+    } else {
         m_log.write(log_code::configuration_unavailable, "why=\"" + why + '"');
-        handle(store_contact{false});
     }
+    handle(store_contact{reachable});
+}
+
+void gateway_process::choose_store_source()
+{
+    const auto source = m_readers.source(m_clock.now());
+    const std::string followed = source.value_or("");
+    if (followed == m_followed && (source || m_reading_store)) {
+        return;
+    }
+    m_followed = followed;
+    m_log.write(log_code::store_source_changed,
+                "source=" + (source ? followed : "store"));
+    if (!source) {
+        m_mirror_reader.stop();
+        m_settings_reader.start();
+        m_servers_reader.start();
+        m_reading_store = true;
+        return;
+    }
+    m_settings_reader.stop();
+    m_servers_reader.stop();
+    m_reading_store = false;
+    m_mirror_reader.follow(
+        {followed.substr(0, followed.rfind(':')), m_file.control.port});
+}
+
+void gateway_process::followed_update(const mirror_update& update)
+{
+    if (!update.store_reachable) {
+        reader_failed("the reader has lost the store");
+        return;
+    }
+    contact_changed(update.store_steady, "the reader was out of contact");
+    for (const store_area area :
+         {store_area::operator_settings, store_area::backend_servers}) {
+        followed_page page;
+        page.whole = update.whole;
+        page.at = update.at;
+        for (const mirrored_item& item : update.items) {
+            if (m_adapter.area_of(item.key) == area) {
+                page.changes.push_back(m_adapter.read_passed_on(
+                    item.key, item.revision, item.removed, item.bytes));
+            }
+        }
+        for (const gateway_event& event : m_view.apply(area, page)) {
+            handle(event);
+        }
+    }
+    settings_changed();
+}
+
+void gateway_process::reader_failed(const std::string& why)
+{
+    m_log.write(log_code::store_reader_failed,
+                "reader=" + m_followed + " why=\"" + why + '"');
+    m_readers.failed(m_followed, m_clock.now());
+    contact_changed(false, why);
+    m_mirror_reader.stop();
+    choose_store_source();
+}
+
+mirror_update gateway_process::update_for_followers(incarnation process,
+                                                    std::uint64_t place) const
+{
+    mirror_update update = m_mirror.after(process, place);
+    const duration contact = m_clock.now() - m_contact_since;
+    update.store_reachable =
+        m_reading_store && m_store_contact && m_mirror.complete();
+    update.store_steady = update.store_reachable && contact >= steady_contact;
+    if (update.store_reachable) {
+        update.at = std::min(m_settings_reader.follower().revision(),
+                             m_servers_reader.follower().revision());
+    }
+    return update;
 }
 
 void gateway_process::settings_changed()
@@ -248,6 +353,8 @@
     const time_point now = m_clock.now();
     m_front.sweep(now);
     m_ready_front.sweep(now);
+    m_control_front.sweep(now);
+    choose_store_source();
     m_links.sweep(now);
     m_log.report_dropped();
     if (m_stopping_since) {
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -5,11 +5,14 @@
 #include "loop/backend_links.hpp"
 #include "loop/boot_clock.hpp"
 #include "loop/caller_front.hpp"
+#include "loop/control_front.hpp"
 #include "loop/event_log.hpp"
 #include "loop/gateway_file.hpp"
+#include "loop/mirror_reader.hpp"
 #include "loop/peer_socket.hpp"
-#include "loop/probe_front.hpp"
 #include "loop/store_reader.hpp"
+#include "systems/store/store_mirror.hpp"
+#include "systems/store/store_readers.hpp"
 #include "systems/store/store_view.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -55,6 +58,13 @@
     void begin_stop();
     bool ready() const;
     void settings_changed();
+    /** Reads the store, or follows a VM that does. */
+    void choose_store_source();
+    void followed_update(const mirror_update& update);
+    void reader_failed(const std::string& why);
+    mirror_update update_for_followers(incarnation process,
+                                       std::uint64_t place) const;
+    void contact_changed(bool reachable, const std::string& why);
     void log_answer(const answer_to_caller& answer);
 
     gateway_file m_file;
@@ -66,12 +76,18 @@
     seeded_random m_random;
     gateway m_gateway;
     store_view m_view;
+    store_mirror m_mirror;
+    store_readers m_readers;
     caller_front m_front;
-    probe_front m_ready_front;
+    control_front m_ready_front;
+    control_front m_control_front;
     backend_links m_links;
     peer_socket m_peers;
     store_reader m_settings_reader;
     store_reader m_servers_reader;
+    mirror_reader m_mirror_reader;
+    std::string m_followed;
+    bool m_reading_store = false;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_sweep_timer;
     boost::asio::signal_set m_signals;
@@ -79,6 +95,7 @@
     std::optional<time_point> m_stopping_since;
     std::uint64_t m_version = 0;
     bool m_store_contact = false;
+    time_point m_contact_since;
 };
 
 } // namespace cranberrywood
--- a/src/loop/store_reader.cpp
+++ b/src/loop/store_reader.cpp
@@ -1,5 +1,7 @@
 #include "loop/store_reader.hpp"
 
+#include <boost/asio/post.hpp>
+
 namespace cranberrywood {
 
 namespace {
@@ -15,16 +17,26 @@
                            endpoint store, store_area area, duration pause,
                            random_source& random, store_listener& listener)
     : m_loop(loop), m_adapter(adapter), m_area(area), m_listener(listener),
-      m_follower(pause, random), m_client(loop, std::move(store)),
-      m_timer(loop.io)
+      m_follower(pause, random), m_store(std::move(store)), m_timer(loop.io)
 {
 }
 
 void store_reader::start()
 {
+    if (m_client) {
+        return;
+    }
+    m_client = std::make_unique<http_client>(m_loop, m_store);
+    m_follower.restart();
     next();
 }
 
+void store_reader::stop()
+{
+    m_client.reset();
+    m_timer.cancel();
+}
+
 void store_reader::next()
 {
     struct visitor
@@ -55,7 +67,7 @@
 {
     m_timer.expires_after(at - m_loop.time.now());
     m_timer.async_wait([this](const boost::system::error_code& error) {
-        if (!error) {
+        if (!error && m_client) {
             next();
         }
     });
@@ -63,9 +75,16 @@
 
 void store_reader::call(const std::string& target, duration timeout)
 {
-    m_client.get(target, timeout, [this](const http_result& result) {
-        take(result);
-        next();
+    m_client->get(target, timeout, [this](http_result result) {
+        // The listener may stop this reader, which ends the client.
+        boost::asio::post(m_loop.io, [this, result = std::move(result)] {
+            if (m_client) {
+                take(result);
+            }
+            if (m_client) {
+                next();
+            }
+        });
     });
 }
 
--- a/src/loop/store_reader.hpp
+++ b/src/loop/store_reader.hpp
@@ -25,7 +25,10 @@
                  endpoint store, store_area area, duration pause,
                  random_source& random, store_listener& listener);
 
+    /** Begins to read, from a list on; does nothing when it reads already. */
     void start();
+    /** Makes no further calls. */
+    void stop();
 
     const store_follower& follower() const
     {
@@ -43,7 +46,8 @@
     store_area m_area;
     store_listener& m_listener;
     store_follower m_follower;
-    http_client m_client;
+    endpoint m_store;
+    std::unique_ptr<http_client> m_client;
     boost::asio::steady_timer m_timer;
 };
 
--- a/src/systems/store/store_follower.cpp
+++ b/src/systems/store/store_follower.cpp
@@ -44,7 +44,7 @@
         if (!page.changes.empty()) {
             m_not_before = now + m_pause;
         }
-        return {std::move(page.changes), false};
+        return {std::move(page.changes), false, page.at};
     }
     if (m_after_key.empty()) {
         m_list_from = page.at;
@@ -61,7 +61,14 @@
     m_after_key.clear();
     m_revision = m_list_from;
     m_not_before = now;
-    return {std::move(m_list), true};
+    return {std::move(m_list), true, m_list_from};
+}
+
+void store_follower::restart()
+{
+    m_listed = false;
+    m_after_key.clear();
+    m_not_before = time_point();
 }
 
 void store_follower::failed(store_fault fault, time_point now)
--- a/src/systems/store/store_follower.hpp
+++ b/src/systems/store/store_follower.hpp
@@ -14,6 +14,8 @@
     std::vector<store_change> changes;
     /** The changes are all items there are. */
     bool whole = false;
+    /** Revision up to which the page is complete; 0 when not known. */
+    store_revision at;
 };
 
 /**
@@ -35,6 +37,9 @@
     /** Takes a page; returns what is new once a list is complete. */
     followed_page read(store_page page, time_point now);
 
+    /** Lists anew at the next call, after a time without calls. */
+    void restart();
+
     /** Takes note that a call failed. */
     void failed(store_fault fault, time_point now);
 
--- a/src/systems/store/store_messages.hpp
+++ b/src/systems/store/store_messages.hpp
@@ -52,6 +52,8 @@
     std::string key;
     store_revision revision;
     store_value value;
+    /** Value as the store has it, for those who follow this VM. */
+    std::string bytes;
 };
 
 /** One answer of the store. */
--- /dev/null
+++ b/src/systems/store/store_mirror.cpp
@@ -0,0 +1,126 @@
+#include "systems/store/store_mirror.hpp"
+
+#include <set>
+
+namespace cranberrywood {
+
+namespace {
+
+/** Returns whether a report changes what a server may be used for. */
+bool same_use(const backend_server_entry& a, const backend_server_entry& b)
+{
+    const bool a_cold = a.cold_remaining > duration(0);
+    const bool b_cold = b.cold_remaining > duration(0);
+    return a.service == b.service && a.address == b.address &&
+           a.data_centre == b.data_centre && a.slots == b.slots &&
+           a.draining == b.draining && a.born_ms == b.born_ms &&
+           a_cold == b_cold;
+}
+
+bool in_area(const store_value& value, store_area area)
+{
+    return std::holds_alternative<backend_server_entry>(value) ==
+           (area == store_area::backend_servers);
+}
+
+} // namespace
+
+store_mirror::store_mirror(incarnation process) : m_process(process) {}
+
+bool store_mirror::apply(store_area area, const followed_page& page)
+{
+    bool news = false;
+    if (page.whole) {
+        news = drop_missing(area, page);
+        bool& read = area == store_area::backend_servers ? m_read_servers
+                                                         : m_read_settings;
+        news = news || !read;
+        read = true;
+    }
+    for (const store_change& change : page.changes) {
+        news = take(change) || news;
+    }
+    return news;
+}
+
+bool store_mirror::take(const store_change& change)
+{
+    if (std::holds_alternative<unreadable_item>(change.value)) {
+        return false;
+    }
+    const bool removed = std::holds_alternative<removed_item>(change.value);
+    const auto known = m_items.find(change.key);
+    if (known == m_items.end() && removed) {
+        return false;
+    }
+    if (known != m_items.end() && !is_news(known->second, change)) {
+        return false;
+    }
+    kept_item& kept = m_items[change.key];
+    if (!removed) {
+        kept.value = change.value;
+    }
+    kept.item = {change.key, change.revision, removed,
+                 removed ? std::string() : change.bytes};
+    kept.place = ++m_place;
+    return true;
+}
+
+// Removed items stay known, so that a late report does not bring them back
+// and followers hear of the removal.
+bool store_mirror::is_news(const kept_item& known,
+                           const store_change& change) const
+{
+    if (change.revision <= known.item.revision) {
+        return false;
+    }
+    if (std::holds_alternative<removed_item>(change.value)) {
+        return !known.item.removed;
+    }
+    const auto* before = std::get_if<backend_server_entry>(&known.value);
+    const auto* entry = std::get_if<backend_server_entry>(&change.value);
+    if (before == nullptr || entry == nullptr) {
+        return true;
+    }
+    if (is_late_report(*before, *entry, !known.item.removed)) {
+        return false;
+    }
+    return known.item.removed || !same_use(*before, *entry);
+}
+
+bool store_mirror::drop_missing(store_area area, const followed_page& page)
+{
+    std::set<std::string> listed;
+    for (const store_change& change : page.changes) {
+        listed.insert(change.key);
+    }
+    bool dropped = false;
+    for (auto& [key, kept] : m_items) {
+        if (!kept.item.removed && in_area(kept.value, area) &&
+            kept.item.revision <= page.at && listed.count(key) == 0) {
+            kept.item.removed = true;
+            kept.item.revision = page.at;
+            kept.item.bytes.clear();
+            kept.place = ++m_place;
+            dropped = true;
+        }
+    }
+    return dropped;
+}
+
+mirror_update store_mirror::after(incarnation process,
+                                  std::uint64_t place) const
+{
+    mirror_update update;
+    update.place = m_place;
+    update.process = m_process;
+    update.whole = process != m_process || place > m_place;
+    for (const auto& [key, kept] : m_items) {
+        if (update.whole ? !kept.item.removed : kept.place > place) {
+            update.items.push_back(kept.item);
+        }
+    }
+    return update;
+}
+
+} // namespace cranberrywood
--- a/src/systems/store/store_view.cpp
+++ b/src/systems/store/store_view.cpp
@@ -39,14 +39,12 @@
         ++m_unreadable;
         return false;
     }
-    if (std::holds_alternative<removed_item>(change.value)) {
-        known.erase(change.key);
-    } else {
-        known[change.key] = {change.revision, change.value};
-    }
+    known[change.key] = {change.revision, change.value};
     return true;
 }
 
+// A list may be older than what is known. An item that it lacks was removed
+// only if the item's last change came before the list.
 void store_view::drop_missing(items& known, const followed_page& page,
                               std::vector<store_change>& removed)
 {
@@ -54,18 +52,18 @@
     for (const store_change& change : page.changes) {
         listed.insert(change.key);
     }
-    for (auto it = known.begin(); it != known.end();) {
-        if (listed.count(it->first) != 0) {
-            ++it;
+    for (auto& [key, kept] : known) {
+        if (listed.count(key) != 0 || kept.revision > page.at ||
+            std::holds_alternative<removed_item>(kept.value)) {
             continue;
         }
         removed_item item;
         if (const auto* entry =
-                std::get_if<backend_server_entry>(&it->second.value)) {
+                std::get_if<backend_server_entry>(&kept.value)) {
             item.server = entry->id;
         }
-        removed.push_back({it->first, it->second.revision, item});
-        it = known.erase(it);
+        kept = {page.at, item};
+        removed.push_back({key, page.at, item, {}});
     }
 }
 
--- a/src/tables/backend_server_entry.hpp
+++ b/src/tables/backend_server_entry.hpp
@@ -29,6 +29,13 @@
     std::uint64_t sequence = 0;
 };
 
+/**
+ * Returns whether a report was written before what is known of the server.
+ * A server whose entry was removed lives only if it reports a new number.
+ */
+bool is_late_report(const backend_server_entry& known,
+                    const backend_server_entry& report, bool listed);
+
 } // namespace cranberrywood
 
 #endif
--- a/src/tables/server_table.cpp
+++ b/src/tables/server_table.cpp
@@ -49,20 +49,12 @@
 // its entry was removed. A server that lives reports with a new number.
 bool server_table::is_stale(const backend_server_entry& entry) const
 {
-    const auto behind = [&](std::uint64_t born, std::uint64_t sequence,
-                            bool listed) {
-        if (entry.born_ms != born) {
-            return entry.born_ms < born;
-        }
-        return listed ? entry.sequence < sequence : entry.sequence <= sequence;
-    };
     if (const server_row* row = find(entry.id)) {
-        return behind(row->entry.born_ms, row->entry.sequence,
-                      !row->unlisted_at);
+        return is_late_report(row->entry, entry, !row->unlisted_at);
     }
     const auto departed = m_departed.find(entry.id);
     return departed != m_departed.end() &&
-           behind(departed->second.born_ms, departed->second.sequence, false);
+           is_late_report(departed->second, entry, false);
 }
 
 void server_table::remove(backend_server_id id)
@@ -75,8 +67,8 @@
     if (m_departed.size() >= max_departed) {
         m_departed.clear();
     }
-    m_departed[id] = {entry.born_ms, entry.sequence};
     unindex(id, entry.service);
+    m_departed[id] = entry;
     m_rows.erase(found);
 }
 
--- a/src/tables/server_table.hpp
+++ b/src/tables/server_table.hpp
@@ -72,15 +72,9 @@
     void index(backend_server_id id, service_id service);
     void unindex(backend_server_id id, service_id service);
 
-    /** Last report of a server whose row is gone. */
-    struct last_report
-    {
-        std::uint64_t born_ms = 0;
-        std::uint64_t sequence = 0;
-    };
-
     std::unordered_map<backend_server_id, server_row> m_rows;
-    std::unordered_map<backend_server_id, last_report> m_departed;
+    /** Last reports of servers whose rows are gone. */
+    std::unordered_map<backend_server_id, backend_server_entry> m_departed;
     std::unordered_map<service_id, std::vector<backend_server_id>> m_services;
 };
 
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -1,6 +1,7 @@
 /**
- * Datagrams between gateways. src/core/gateway_datagram.hpp documents the
- * fields. Ids and durations (nanoseconds) are 64-bit numbers.
+ * Datagrams between gateways, and updates of the store's items that a reader
+ * passes on. src/core/gateway_datagram.hpp and
+ * src/systems/store/store_mirror.hpp document the fields. Ids and durations (nanoseconds) are 64-bit numbers.
  */
 namespace cpp cranberrywood.wire
 
@@ -30,3 +31,20 @@
   5: list<token_ask> asks
   6: list<token_grant> grants
 }
+
+struct mirrored_item {
+  1: string key
+  2: i64 revision
+  3: bool removed
+  4: binary bytes
+}
+
+struct mirror_update {
+  1: i64 place
+  2: i64 process
+  3: bool whole
+  4: bool store_steady
+  5: list<mirrored_item> items
+  6: i64 at
+  7: bool store_reachable
+}
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_WIRE_GATEWAY_FIELDS_HPP
 
 #include "core/gateway_datagram.hpp"
+#include "systems/store/store_mirror.hpp"
 #include "wire/field_copy.hpp"
 #include "wire/gen/gateway_types.h"
 
@@ -47,6 +48,29 @@
     copy(c.grants, w.grants);
 }
 
+template <class D>
+void copy_fields(D& copy, typename D::template core<mirrored_item> c,
+                 typename D::template wired<wire::mirrored_item> w)
+{
+    copy(c.key, w.key);
+    copy(c.revision, w.revision);
+    copy(c.removed, w.removed);
+    copy(c.bytes, w.bytes);
+}
+
+template <class D>
+void copy_fields(D& copy, typename D::template core<mirror_update> c,
+                 typename D::template wired<wire::mirror_update> w)
+{
+    copy(c.place, w.place);
+    copy(c.process, w.process);
+    copy(c.whole, w.whole);
+    copy(c.at, w.at);
+    copy(c.store_reachable, w.store_reachable);
+    copy(c.store_steady, w.store_steady);
+    copy(c.items, w.items);
+}
+
 } // namespace cranberrywood::wire_detail
 
 #endif
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -661,4 +661,388 @@
   out << ")";
 }
 
+
+mirrored_item::~mirrored_item() noexcept {
+}
+
+
+void mirrored_item::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void mirrored_item::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void mirrored_item::__set_removed(const bool val) {
+  this->removed = val;
+}
+
+void mirrored_item::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const mirrored_item& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t mirrored_item::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t mirrored_item::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("mirrored_item");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(mirrored_item &a, mirrored_item &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.removed, b.removed);
+  swap(a.bytes, b.bytes);
+  swap(a.__isset, b.__isset);
+}
+
+mirrored_item::mirrored_item(const mirrored_item& other26) {
+  key = other26.key;
+  revision = other26.revision;
+  removed = other26.removed;
+  bytes = other26.bytes;
+  __isset = other26.__isset;
+}
+mirrored_item& mirrored_item::operator=(const mirrored_item& other27) {
+  key = other27.key;
+  revision = other27.revision;
+  removed = other27.removed;
+  bytes = other27.bytes;
+  __isset = other27.__isset;
+  return *this;
+}
+void mirrored_item::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "mirrored_item(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ")";
+}
+
+
+mirror_update::~mirror_update() noexcept {
+}
+
+
+void mirror_update::__set_place(const int64_t val) {
+  this->place = val;
+}
+
+void mirror_update::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void mirror_update::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void mirror_update::__set_store_steady(const bool val) {
+  this->store_steady = val;
+}
+
+void mirror_update::__set_items(const std::vector<mirrored_item> & val) {
+  this->items = val;
+}
+
+void mirror_update::__set_at(const int64_t val) {
+  this->at = val;
+}
+
+void mirror_update::__set_store_reachable(const bool val) {
+  this->store_reachable = val;
+}
+std::ostream& operator<<(std::ostream& out, const mirror_update& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t mirror_update::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->place);
+          this->__isset.place = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->store_steady);
+          this->__isset.store_steady = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->items.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += this->items[_i32].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at);
+          this->__isset.at = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->store_reachable);
+          this->__isset.store_reachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t mirror_update::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("mirror_update");
+
+  xfer += oprot->writeFieldBegin("place", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->place);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("store_steady", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->store_steady);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<mirrored_item> ::const_iterator _iter33;
+    for (_iter33 = this->items.begin(); _iter33 != this->items.end(); ++_iter33)
+    {
+      xfer += (*_iter33).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("at", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->at);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("store_reachable", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->store_reachable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(mirror_update &a, mirror_update &b) {
+  using ::std::swap;
+  swap(a.place, b.place);
+  swap(a.process, b.process);
+  swap(a.whole, b.whole);
+  swap(a.store_steady, b.store_steady);
+  swap(a.items, b.items);
+  swap(a.at, b.at);
+  swap(a.store_reachable, b.store_reachable);
+  swap(a.__isset, b.__isset);
+}
+
+mirror_update::mirror_update(const mirror_update& other34) {
+  place = other34.place;
+  process = other34.process;
+  whole = other34.whole;
+  store_steady = other34.store_steady;
+  items = other34.items;
+  at = other34.at;
+  store_reachable = other34.store_reachable;
+  __isset = other34.__isset;
+}
+mirror_update& mirror_update::operator=(const mirror_update& other35) {
+  place = other35.place;
+  process = other35.process;
+  whole = other35.whole;
+  store_steady = other35.store_steady;
+  items = other35.items;
+  at = other35.at;
+  store_reachable = other35.store_reachable;
+  __isset = other35.__isset;
+  return *this;
+}
+void mirror_update::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "mirror_update(";
+  out << "place=" << to_string(place);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "store_steady=" << to_string(store_steady);
+  out << ", " << "items=" << to_string(items);
+  out << ", " << "at=" << to_string(at);
+  out << ", " << "store_reachable=" << to_string(store_reachable);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -29,6 +29,10 @@
 
 class gateway_datagram;
 
+class mirrored_item;
+
+class mirror_update;
+
 typedef struct _member_hint__isset {
   _member_hint__isset() : address(false), age(false) {}
   bool address :1;
@@ -275,6 +279,154 @@
 
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj);
 
+typedef struct _mirrored_item__isset {
+  _mirrored_item__isset() : key(false), revision(false), removed(false), bytes(false) {}
+  bool key :1;
+  bool revision :1;
+  bool removed :1;
+  bool bytes :1;
+} _mirrored_item__isset;
+
+class mirrored_item : public virtual ::apache::thrift::TBase {
+ public:
+
+  mirrored_item(const mirrored_item&);
+  mirrored_item& operator=(const mirrored_item&);
+  mirrored_item() noexcept
+                : key(),
+                  revision(0),
+                  removed(0),
+                  bytes() {
+  }
+
+  virtual ~mirrored_item() noexcept;
+  std::string key;
+  int64_t revision;
+  bool removed;
+  std::string bytes;
+
+  _mirrored_item__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  void __set_bytes(const std::string& val);
+
+  bool operator == (const mirrored_item & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const mirrored_item &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const mirrored_item & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(mirrored_item &a, mirrored_item &b);
+
+std::ostream& operator<<(std::ostream& out, const mirrored_item& obj);
+
+typedef struct _mirror_update__isset {
+  _mirror_update__isset() : place(false), process(false), whole(false), store_steady(false), items(false), at(false), store_reachable(false) {}
+  bool place :1;
+  bool process :1;
+  bool whole :1;
+  bool store_steady :1;
+  bool items :1;
+  bool at :1;
+  bool store_reachable :1;
+} _mirror_update__isset;
+
+class mirror_update : public virtual ::apache::thrift::TBase {
+ public:
+
+  mirror_update(const mirror_update&);
+  mirror_update& operator=(const mirror_update&);
+  mirror_update() noexcept
+                : place(0),
+                  process(0),
+                  whole(0),
+                  store_steady(0),
+                  at(0),
+                  store_reachable(0) {
+  }
+
+  virtual ~mirror_update() noexcept;
+  int64_t place;
+  int64_t process;
+  bool whole;
+  bool store_steady;
+  std::vector<mirrored_item>  items;
+  int64_t at;
+  bool store_reachable;
+
+  _mirror_update__isset __isset;
+
+  void __set_place(const int64_t val);
+
+  void __set_process(const int64_t val);
+
+  void __set_whole(const bool val);
+
+  void __set_store_steady(const bool val);
+
+  void __set_items(const std::vector<mirrored_item> & val);
+
+  void __set_at(const int64_t val);
+
+  void __set_store_reachable(const bool val);
+
+  bool operator == (const mirror_update & rhs) const
+  {
+    if (!(place == rhs.place))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(store_steady == rhs.store_steady))
+      return false;
+    if (!(items == rhs.items))
+      return false;
+    if (!(at == rhs.at))
+      return false;
+    if (!(store_reachable == rhs.store_reachable))
+      return false;
+    return true;
+  }
+  bool operator != (const mirror_update &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const mirror_update & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(mirror_update &a, mirror_update &b);
+
+std::ostream& operator<<(std::ostream& out, const mirror_update& obj);
+
 }} // namespace
 
 #endif
