--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -20,6 +20,71 @@
 /** Backend servers that one call may be sent to if none has run it. */
 constexpr std::size_t max_tries = 4;
 
+void log(log_code code, std::string text, gateway_commands& out)
+{
+    out.push_back(
+        gateway_log{static_cast<std::uint32_t>(code), std::move(text)});
+}
+
+std::string milliseconds_text(duration d)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
+/** Returns the fields that tell how far a request has come. */
+std::string describe(const open_request& request, time_point now)
+{
+    std::uint32_t answered = 0;
+    std::uint32_t waiting = 0;
+    std::size_t sends = 0;
+    for (const service_call& call : request.calls) {
+        answered += call.state == call_state::answered ? 1 : 0;
+        waiting += call.state == call_state::waiting ? 1 : 0;
+        sends += call.sends.size();
+    }
+    return "request=" + request.outbound->id + " route=" + request.terms->name +
+           " age_ms=" + milliseconds_text(now - request.arrived) +
+           " calls=" + std::to_string(request.calls.size()) +
+           " answered=" + std::to_string(answered) +
+           " waiting=" + std::to_string(waiting) +
+           " sends=" + std::to_string(sends);
+}
+
+/** Returns whether an answer is other than what the caller asked for. */
+bool is_worth_a_line(const gateway_answer& answer)
+{
+    const auto* gathered = std::get_if<gathered_answer>(&answer);
+    const auto* relayed = std::get_if<relayed_answer>(&answer);
+    constexpr unsigned first_failure = 500;
+    return (gathered == nullptr || gathered->missing > 0) &&
+           (relayed == nullptr || relayed->message->status >= first_failure);
+}
+
+std::string outcome_of(const gateway_answer& answer)
+{
+    struct visitor
+    {
+        std::string operator()(const relayed_answer& a) const
+        {
+            return "relayed_" + std::to_string(a.message->status);
+        }
+        std::string operator()(const gathered_answer& a) const
+        {
+            return "missing_" + std::to_string(a.missing);
+        }
+        std::string operator()(const refused_answer& a) const
+        {
+            return name_of(a.why);
+        }
+        std::string operator()(const failed_answer& a) const
+        {
+            return name_of(a.why);
+        }
+    };
+    return std::visit(visitor{}, answer);
+}
+
 } // namespace
 
 gateway::gateway(const gateway_settings& settings, random_source& random,
@@ -78,28 +143,46 @@
     if (const auto* needed = std::get_if<token_needed>(&admitted)) {
         wait_for_token(asked, needed->workspace, now, out);
     } else {
-        settle(asked.token, std::move(admitted), now, out);
+        settle(asked, std::move(admitted), now, out);
     }
 }
 
-void gateway::settle(caller_token token, admission_result admitted,
+void gateway::settle(const caller_asked& asked, admission_result admitted,
                      time_point now, gateway_commands& out)
 {
     if (auto* refused = std::get_if<refused_answer>(&admitted)) {
-        out.push_back(answer_to_caller{token, *refused});
+        refuse(asked, *refused, out);
     } else {
         begin(std::move(std::get<std::unique_ptr<open_request>>(admitted)), now,
               out);
     }
 }
 
+void gateway::refuse(const caller_asked& asked, const refused_answer& answer,
+                     gateway_commands& out)
+{
+    const std::uint64_t version =
+        m_settings == nullptr ? 0 : m_settings->version;
+    const workspace_entry* workspace =
+        m_settings == nullptr ? nullptr : m_settings->find_workspace(asked.key);
+    log(log_code::request_refused,
+        "request=" + asked.outbound->id + " host=" + asked.host +
+            " path=" + asked.path + " why=" + name_of(answer.why) +
+            " workspace=" + (workspace == nullptr ? "none" : workspace->name) +
+            " rate=" +
+            (workspace == nullptr ? "0" : std::to_string(workspace->rate)) +
+            " retry_after_ms=" +
+            milliseconds_text(answer.retry_after.value_or(duration(0))) +
+            " revision=" + std::to_string(version),
+        out);
+    out.push_back(answer_to_caller{asked.token, answer});
+}
+
 void gateway::wait_for_token(const caller_asked& asked, workspace_id workspace,
                              time_point now, gateway_commands& out)
 {
     if (!m_token_waiters.add(workspace, asked, now)) {
-        out.push_back(answer_to_caller{
-            asked.token,
-            refused_answer{refusal_reason::over_rate, token_retry_after}});
+        refuse(asked, {refusal_reason::over_rate, token_retry_after}, out);
         return;
     }
     m_next_token_look = std::min(m_next_token_look, now + token_look_interval);
@@ -132,16 +215,14 @@
             m_token_waiters.put_back(workspace, *asked, since);
             return;
         }
-        settle(asked->token, std::move(admitted), now, out);
+        settle(*asked, std::move(admitted), now, out);
     }
 }
 
 void gateway::look_after_waiters(time_point now, gateway_commands& out)
 {
     for (const caller_asked& late : m_token_waiters.take_late(now)) {
-        out.push_back(answer_to_caller{
-            late.token,
-            refused_answer{refusal_reason::over_rate, token_retry_after}});
+        refuse(late, {refusal_reason::over_rate, token_retry_after}, out);
     }
     for (const workspace_id workspace : m_token_waiters.workspaces()) {
         ask_for_tokens(workspace, now, out);
@@ -260,9 +341,7 @@
     }
     m_fleet_size = size;
     m_sender.fleet_changed(size);
-    out.push_back(
-        gateway_log{static_cast<std::uint32_t>(log_code::fleet_size_changed),
-                    "vms=" + std::to_string(size)});
+    log(log_code::fleet_size_changed, "vms=" + std::to_string(size), out);
 }
 
 void gateway::start_call(open_request& request, std::uint32_t call,
@@ -432,6 +511,10 @@
         }
     }
     const caller_token token = request.token;
+    if (is_worth_a_line(answer)) {
+        log(log_code::request_not_served,
+            describe(request, now) + " outcome=" + outcome_of(answer), out);
+    }
     out.push_back(answer_to_caller{token, std::move(answer)});
     m_due.remove(token);
     m_requests.erase(token);
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -71,7 +71,9 @@
             gateway_commands& out);
     void follow_fleet_size(time_point now, gateway_commands& out);
 
-    void settle(caller_token token, admission_result admitted, time_point now,
+    void settle(const caller_asked& asked, admission_result admitted,
+                time_point now, gateway_commands& out);
+    void refuse(const caller_asked& asked, const refused_answer& answer,
                 gateway_commands& out);
     void begin(std::unique_ptr<open_request> row, time_point now,
                gateway_commands& out);
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -37,7 +37,7 @@
     server_drain_changed = 1503,
     server_report_stale = 1504,
     request_refused = 1601,
-    request_failed = 1602,
+    request_not_served = 1602,
     request_improper = 1603,
     request_refused_after_crashes = 1701,
     port_not_free = 1801,
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -237,7 +237,7 @@
 {
     m_log.write(log_code::store_reader_failed,
                 "reader=" + m_followed + " why=\"" + why + '"');
-    m_readers.failed(m_followed, m_clock.now());
+    m_readers.failed(m_clock.now());
     contact_changed(false, why);
     m_mirror_reader.stop();
     choose_store_source();
@@ -298,7 +298,6 @@
         }
         void operator()(const answer_to_caller& answer) const
         {
-            process.log_answer(answer);
             process.m_front.answer(
                 answer.token, process.m_adapter.write_answer(answer.answer));
         }
@@ -316,20 +315,6 @@
     }
 }
 
-void gateway_process::log_answer(const answer_to_caller& answer)
-{
-    if (const auto* failed = std::get_if<failed_answer>(&answer.answer)) {
-        m_log.write(log_code::request_failed,
-                    "token=" + std::to_string(answer.token.value()) +
-                        " why=" + name_of(failed->why));
-    } else if (const auto* refused =
-                   std::get_if<refused_answer>(&answer.answer)) {
-        m_log.write(log_code::request_refused,
-                    "token=" + std::to_string(answer.token.value()) +
-                        " why=" + name_of(refused->why));
-    }
-}
-
 void gateway_process::plan_wakeup()
 {
     const auto next = m_gateway.next_wakeup();
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -65,7 +65,6 @@
     mirror_update update_for_followers(incarnation process,
                                        std::uint64_t place) const;
     void contact_changed(bool reachable, const std::string& why);
-    void log_answer(const answer_to_caller& answer);
 
     gateway_file m_file;
     const platform_adapter& m_adapter;
--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -14,7 +14,7 @@
 /** Time after which a VM goes by those it knows, though it heard of more. */
 constexpr duration longest_settling = 10s;
 /** Silence after which a VM is not asked for anything. */
-constexpr duration live_time = 2500ms;
+constexpr duration live_time = 3500ms;
 /** Silence after which a VM no longer counts. */
 constexpr duration memory = 10min;
 /** Time for which a size that a peer told holds. */
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -20,6 +20,8 @@
 /** Costs that differ by less than this share may change places. */
 constexpr double cost_spread = 0.1;
 constexpr std::uint64_t cost_spread_steps = 101;
+/** Time that it takes to set up a connection, and a little of its price. */
+constexpr duration connection_cost = 8ms;
 /** Factor on the cost of servers of the own data centre. */
 constexpr double own_data_centre_factor = 0.85;
 
@@ -132,7 +134,10 @@
     }
     const double factor =
         row.entry.data_centre == own ? own_data_centre_factor : 1.0;
-    return expected * factor * (1.0 + row.in_flight());
+    const bool connects = now >= row.connected_until || row.in_flight() > 0;
+    const std::chrono::duration<double, std::nano> setup = connection_cost;
+    return expected * factor * (1.0 + row.in_flight()) +
+           (connects ? setup.count() : 0.0);
 }
 
 duration server_choice::typical_latency(service_id service) const
--- a/src/systems/servers/server_directory.cpp
+++ b/src/systems/servers/server_directory.cpp
@@ -17,6 +17,8 @@
 constexpr duration lapse_use = 2200ms;
 /** Weight of the newest latency in the smoothed one. */
 constexpr int smoothing = 5;
+/** Time for which a server is likely to keep an idle connection. */
+constexpr duration connection_life = 4s;
 /** Shortest and longest time for which a failing server is avoided. */
 constexpr duration min_avoid = 150ms;
 constexpr duration max_avoid = 2400ms;
@@ -151,6 +153,7 @@
                            ? taken
                            : row->latency + (taken - row->latency) / smoothing;
         row->latency_at = now;
+        row->connected_until = now + connection_life;
     }
 }
 
--- a/src/systems/store/store_readers.hpp
+++ b/src/systems/store/store_readers.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cranberrywood {
 
@@ -23,13 +24,25 @@
     /** Returns whom to follow; nothing: read the store. */
     std::optional<std::string> source(time_point now);
 
-    /** Takes note that a reader did not answer, or has lost the store. */
-    void failed(const std::string& reader, time_point now);
+    /** The VM that is followed did not answer, or has lost the store. */
+    void failed(time_point now);
 
 private:
+    struct failure_record
+    {
+        duration avoid{0};
+        time_point avoided_until;
+    };
+
+    std::vector<std::string> live_candidates(time_point now) const;
+    std::optional<std::string> choose(const std::vector<std::string>& live,
+                                      time_point now) const;
+
     const member_directory& m_members;
-    std::map<std::string, time_point> m_avoided_until;
-    std::string m_followed;
+    std::map<std::string, failure_record> m_failures;
+    std::optional<std::string> m_followed;
+    time_point m_last_failure;
+    time_point m_reads_until;
 };
 
 } // namespace cranberrywood
--- a/src/tables/server_table.hpp
+++ b/src/tables/server_table.hpp
@@ -31,6 +31,8 @@
     /** Until when it gets no first sends after it failed or was silent. */
     time_point avoid_until;
     std::uint32_t failures_in_row = 0;
+    /** Until when a connection is likely to be open and idle. */
+    time_point connected_until;
 
     std::uint32_t in_flight() const
     {
--- a/src/tests/store_follower_test.cpp
+++ b/src/tests/store_follower_test.cpp
@@ -13,7 +13,7 @@
 
     static store_change change(const std::string& key, std::uint64_t revision)
     {
-        return {key, store_revision(revision), removed_item{}};
+        return {key, store_revision(revision), removed_item{}, {}};
     }
     void list(std::uint64_t at)
     {
--- /dev/null
+++ b/src/tests/store_readers_test.cpp
@@ -0,0 +1,118 @@
+#include "systems/store/store_readers.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cranberrywood;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string address(std::size_t vm)
+{
+    return "10.0.0." + std::to_string(vm + 1) + ":7000";
+}
+
+} // namespace
+
+TEST_GROUP(store_readers)
+{
+    seeded_random random{4};
+    time_point now{1h};
+
+    /** A VM of a fleet in which it heard everybody but some. */
+    struct vm
+    {
+        vm(std::size_t self, std::size_t fleet, random_source& random,
+           time_point now)
+            : m_self(self), m_fleet(fleet),
+              members({address(self), {address(0), address(1)}}, random, now),
+              readers(members)
+        {
+            hear(now, SIZE_MAX);
+        }
+        void hear(time_point now, std::size_t but)
+        {
+            for (std::size_t other = 0; other < m_fleet; ++other) {
+                if (other == m_self || other == but) {
+                    continue;
+                }
+                gateway_datagram datagram;
+                datagram.fleet_size = static_cast<std::uint32_t>(m_fleet);
+                datagram.settled = true;
+                members.received(address(other), datagram, now);
+            }
+        }
+
+        std::size_t m_self;
+        std::size_t m_fleet;
+        member_directory members;
+        store_readers readers;
+    };
+};
+
+TEST(store_readers, a_small_fleet_reads_by_itself)
+{
+    for (std::size_t self = 0; self < 8; ++self) {
+        vm one(self, 8, random, now);
+        CHECK(!one.readers.source(now));
+    }
+}
+
+// VMs that start read first; they follow once they are outside the places
+// that a reader keeps.
+TEST(store_readers, a_few_vms_of_a_large_fleet_read)
+{
+    std::size_t reading = 0;
+    std::map<std::string, int> followed;
+    for (std::size_t self = 0; self < 67; ++self) {
+        vm one(self, 67, random, now);
+        if (const auto source = one.readers.source(now)) {
+            ++followed[*source];
+        } else {
+            ++reading;
+        }
+    }
+    CHECK_EQUAL(8, reading);
+    CHECK_EQUAL(4, followed.size());
+}
+
+TEST(store_readers, a_vm_that_does_not_know_the_fleet_reads)
+{
+    member_directory members({address(9), {address(0)}}, random, now);
+    store_readers readers(members);
+    CHECK(!readers.source(now + 1min));
+}
+
+TEST(store_readers, a_failed_reader_is_left_for_another)
+{
+    std::size_t self = 0;
+    while (!vm(self, 67, random, now).readers.source(now)) {
+        ++self;
+    }
+    vm one(self, 67, random, now);
+    const std::string first = *one.readers.source(now);
+    one.readers.failed(now);
+    const auto second = one.readers.source(now);
+    CHECK(second.has_value());
+    CHECK(*second != first);
+    now += 6s;
+    one.hear(now, SIZE_MAX);
+    CHECK(one.readers.source(now) == second);
+}
+
+TEST(store_readers, two_failures_in_a_row_make_a_vm_read_by_itself)
+{
+    std::size_t self = 0;
+    while (!vm(self, 67, random, now).readers.source(now)) {
+        ++self;
+    }
+    vm one(self, 67, random, now);
+    CHECK(one.readers.source(now).has_value());
+    one.readers.failed(now);
+    one.readers.failed(now + 2s);
+    now += 11s;
+    one.hear(now, SIZE_MAX);
+    CHECK(!one.readers.source(now));
+    now += 2s;
+    CHECK(one.readers.source(now).has_value());
+}
--- a/src/tests/store_view_test.cpp
+++ b/src/tests/store_view_test.cpp
@@ -16,29 +16,36 @@
         e.name = name;
         e.id = id_of<backend_server_id>(name);
         e.sequence = sequence;
-        return {"servers/" + name, store_revision(revision), e};
+        return {"servers/" + name, store_revision(revision), e, {}};
     }
     static store_change removal(const std::string& name, std::uint64_t revision)
     {
-        return {"servers/" + name, store_revision(revision),
-                removed_item{id_of<backend_server_id>(name)}};
+        return {"servers/" + name,
+                store_revision(revision),
+                removed_item{id_of<backend_server_id>(name)},
+                {}};
     }
     static store_change settings(std::uint64_t version, std::uint64_t revision)
     {
         auto read = std::make_shared<catalogue>();
         read->version = version;
-        return {"settings", store_revision(revision),
-                std::shared_ptr<const catalogue>(read)};
+        return {"settings",
+                store_revision(revision),
+                std::shared_ptr<const catalogue>(read),
+                {}};
     }
     static store_change out(const std::string& name, std::uint64_t revision)
     {
-        return {"out/" + name, store_revision(revision),
-                evacuated_data_centre{id_of<data_centre_id>(name)}};
+        return {"out/" + name,
+                store_revision(revision),
+                evacuated_data_centre{id_of<data_centre_id>(name)},
+                {}};
     }
     std::vector<gateway_event> servers(std::vector<store_change> changes,
-                                       bool whole = false)
+                                       bool whole = false, std::uint64_t at = 0)
     {
-        return view.apply(store_area::backend_servers, {changes, whole});
+        return view.apply(store_area::backend_servers,
+                          {changes, whole, store_revision(at)});
     }
 };
 
@@ -62,13 +69,21 @@
 
 TEST(store_view, a_whole_list_removes_what_it_lacks)
 {
-    servers({entry("a", 5), entry("b", 6)}, true);
-    const auto events = servers({entry("b", 6)}, true);
+    servers({entry("a", 5), entry("b", 6)}, true, 6);
+    const auto events = servers({entry("b", 6)}, true, 9);
     CHECK_EQUAL(1, events.size());
     CHECK(std::get<server_unlisted>(events[0]).server ==
           id_of<backend_server_id>("a"));
 }
 
+// Another VM's copy may lag behind what this one has seen.
+TEST(store_view, a_list_that_lags_removes_nothing_newer)
+{
+    servers({entry("a", 5), entry("b", 8)}, true, 9);
+    CHECK(servers({entry("a", 5)}, true, 7).empty());
+    CHECK_EQUAL(1, servers({entry("a", 5)}, true, 8).size());
+}
+
 TEST(store_view, an_older_revision_changes_nothing)
 {
     servers({entry("a", 9, 4)});
@@ -79,21 +94,22 @@
 TEST(store_view, an_unreadable_item_leaves_what_is_known)
 {
     servers({entry("a", 5)});
-    CHECK(servers({{"servers/a", store_revision(6), unreadable_item{"json"}}})
-              .empty());
+    CHECK(
+        servers({{"servers/a", store_revision(6), unreadable_item{"json"}, {}}})
+            .empty());
     CHECK_EQUAL(1U, view.unreadable_items());
 }
 
 TEST(store_view, evacuations_come_whole_and_before_settings)
 {
-    view.apply(store_area::operator_settings, {{out("x", 1)}, true});
+    view.apply(store_area::operator_settings, {{out("x", 1)}, true, {}});
     const auto events = view.apply(store_area::operator_settings,
-                                   {{settings(3, 2), out("y", 3)}, false});
+                                   {{settings(3, 2), out("y", 3)}, false, {}});
     CHECK_EQUAL(2, events.size());
     CHECK_EQUAL(2, std::get<evacuations_read>(events[0]).data_centres.size());
     CHECK_EQUAL(3U, std::get<catalogue_read>(events[1]).read->version);
-    const auto back =
-        view.apply(store_area::operator_settings,
-                   {{{"out/x", store_revision(4), removed_item{}}}, false});
+    const auto back = view.apply(
+        store_area::operator_settings,
+        {{{"out/x", store_revision(4), removed_item{}, {}}}, false, {}});
     CHECK_EQUAL(1, std::get<evacuations_read>(back[0]).data_centres.size());
 }
