--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -11,7 +11,17 @@
 /** Time that an exchange is given to finish after nobody waits for it. */
 constexpr duration abandoned_life = 300ms;
 /** Share of the users' bound on extra sends that is used, in percent. */
-constexpr std::uint32_t extra_use_percent = 75;
+constexpr std::uint32_t extra_use_percent = 85;
+/** Parts of the fixed extra sends: saved at once, and earned in a window. */
+constexpr std::uint32_t saved_percent = 40;
+constexpr std::uint32_t earned_percent = 40;
+/** Window over which the users bound extra sends. */
+constexpr duration extra_window = 10s;
+/**
+ * Quantile of a route's latencies after which a send is hedged: what is
+ * slower is mostly stuck, and the budget is kept for that.
+ */
+constexpr double hedge_quantile = 0.93;
 /** Hedge age before a route's latencies are known, as part of its target. */
 constexpr int unknown_hedge_divisor = 3;
 constexpr duration min_hedge_age = 4ms;
@@ -36,8 +46,7 @@
 {
     m_vms = std::max(1U, vms);
     for (auto& [service, budget] : m_budgets) {
-        budget.save_at_most(m_settings.extra_saved * extra_use_percent /
-                            (100 * m_vms));
+        budget.save_at_most(saved_hundredths());
     }
 }
 
@@ -155,8 +164,8 @@
 
 duration call_sender::hedge_age(const route& terms) const
 {
-    const double q = hedge_quantile_for(m_settings.extra_percent);
-    const auto known = m_latencies.quantile(id_of<route_id>(terms.name), q);
+    const auto known =
+        m_latencies.quantile(id_of<route_id>(terms.name), hedge_quantile);
     const duration age =
         known.value_or(terms.target_latency / unknown_hedge_divisor);
     return std::max(min_hedge_age, age);
@@ -179,9 +188,30 @@
     if (found != m_budgets.end()) {
         return found->second;
     }
-    const std::uint64_t saved =
-        m_settings.extra_saved * extra_use_percent / (100 * m_vms);
-    return m_budgets.emplace(service, extra_budget(saved)).first->second;
+    return m_budgets.emplace(service, extra_budget::saving(saved_hundredths()))
+        .first->second;
+}
+
+std::uint64_t call_sender::saved_hundredths() const
+{
+    return std::uint64_t(m_settings.extra_saved) * saved_percent / m_vms;
+}
+
+/** Adds what the fixed extra sends allow for the time that has passed. */
+void call_sender::earn_extra(time_point now)
+{
+    const std::uint64_t per_window =
+        std::uint64_t(m_settings.extra_saved) * earned_percent / m_vms;
+    const std::uint64_t due =
+        per_window * static_cast<std::uint64_t>((now - m_earned_at).count()) /
+        static_cast<std::uint64_t>(extra_window.count());
+    if (due == 0) {
+        return;
+    }
+    m_earned_at = now;
+    for (auto& [service, budget] : m_budgets) {
+        budget.earn(due);
+    }
 }
 
 } // namespace cranberrywood
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -62,6 +62,8 @@
                       send_purpose purpose, time_point now,
                       gateway_commands& out);
 
+    /** Adds to the budgets of extra sends what the time allows. */
+    void earn_extra(time_point now);
     /** Counts the first send that a call owes, sent or not. */
     void count_request(service_id service);
 
@@ -92,6 +94,7 @@
 private:
     std::uint32_t max_in_flight(service_id service) const;
     extra_budget& budget_of(service_id service);
+    std::uint64_t saved_hundredths() const;
     void observe(const exchange_row& row, const exchange_ended& ended,
                  time_point now);
 
@@ -106,6 +109,7 @@
     due_queue<exchange_id> m_overdue;
     std::unordered_map<service_id, extra_budget> m_budgets;
     std::uint64_t m_last_exchange = 0;
+    time_point m_earned_at;
 };
 
 } // namespace cranberrywood
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -119,6 +119,7 @@
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
         m_directory.drop_unlisted(now);
+        m_sender.earn_extra(now);
         serve_all_waiting(now, out);
     }
     return out;
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -53,9 +53,10 @@
     request->outbound = asked.outbound;
     request->terms = terms;
     request->priority = terms->priority;
-    request->arrived = now;
-    request->deadline = now + std::min(asked.deadline, terms->timeout);
-    request->answer_at = now + terms->target_latency - answer_travel;
+    request->arrived = asked.arrived;
+    request->deadline =
+        asked.arrived + std::min(asked.deadline, terms->timeout);
+    request->answer_at = asked.arrived + terms->target_latency - answer_travel;
     if (!terms->open && m_settings->has_workspaces()) {
         const workspace_entry* workspace =
             m_settings->find_workspace(asked.key);
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -40,6 +40,8 @@
     std::string key;
     /** Time that the caller is ready to wait. */
     duration deadline{0};
+    /** Time at which the request was read. */
+    time_point arrived;
     std::shared_ptr<const outbound_request> outbound;
 };
 
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -118,7 +118,9 @@
         m_front.answer(token, {fault->status, "", ""});
         return;
     }
-    handle(std::get<caller_asked>(std::move(read)));
+    auto& asked = std::get<caller_asked>(read);
+    asked.arrived = m_clock.now();
+    handle(std::move(asked));
 }
 
 void gateway_process::caller_closed(caller_token token)
--- a/src/systems/extra_budget.cpp
+++ b/src/systems/extra_budget.cpp
@@ -22,17 +22,28 @@
     return 1.0 - std::min(100U, extra_percent) / percent_per_hedged_one;
 }
 
-extra_budget::extra_budget(std::uint64_t saved_sends)
-    : m_fixed_most(saved_sends * one_send)
+extra_budget extra_budget::saving(std::uint64_t hundredths)
 {
+    extra_budget budget;
+    budget.save_at_most(hundredths);
+    return budget;
 }
 
-void extra_budget::save_at_most(std::uint64_t sends)
+// At least one send can be saved, or there would never be one.
+void extra_budget::save_at_most(std::uint64_t hundredths)
 {
-    m_fixed_most = sends * one_send;
+    m_fixed_most = std::max(hundredths, one_send);
     m_hundredths = std::min(m_hundredths, *m_fixed_most);
 }
 
+void extra_budget::earn(std::uint64_t hundredths)
+{
+    m_hundredths += hundredths;
+    if (m_fixed_most) {
+        m_hundredths = std::min(m_hundredths, *m_fixed_most);
+    }
+}
+
 void extra_budget::first_sends(std::uint64_t sends, std::uint32_t extra_percent)
 {
     const std::uint64_t share = sends * extra_percent;
--- a/src/systems/extra_budget.hpp
+++ b/src/systems/extra_budget.hpp
@@ -21,11 +21,13 @@
 {
 public:
     extra_budget() = default;
-    /** Saves at most a fixed number of extra sends. */
-    explicit extra_budget(std::uint64_t saved_sends);
+    /** Returns a budget that saves at most so many hundredths of a send. */
+    static extra_budget saving(std::uint64_t hundredths);
 
-    /** Changes the fixed number of extra sends that may be saved. */
-    void save_at_most(std::uint64_t sends);
+    /** Changes how many hundredths of a send may be saved. */
+    void save_at_most(std::uint64_t hundredths);
+    /** Adds hundredths of a send, up to what may be saved. */
+    void earn(std::uint64_t hundredths);
 
     /** Adds the share of first sends that a service allows. */
     void first_sends(std::uint64_t sends, std::uint32_t extra_percent);
