gateway: an answer without a receipt is never passed on; table of backend server faults

Cause (gateway_test, written now): a 2xx without a receipt was kept as the last answer and passed on when no other server was left, as if it were a success. 17 tests drive the gateway by events: faults of backend servers by whether a request may be repeated, budgets, hedges, thin answers, leaving callers, keys, older configurations, evacuation, lapsed entries.

--- a/src/systems/queries/request_answer.cpp
+++ b/src/systems/queries/request_answer.cpp
@@ -42,7 +42,8 @@
 
 gateway_answer forwarded(const open_request& request, const service_call& call)
 {
-    if (!call.answer ||
+    // Without a receipt it is not known whose answer it is.
+    if (!call.answer || call.answer->receipt.empty() ||
         (promises_not_run(call.answer->status) && !request.terms->repeatable)) {
         return failure(request, failure_reason::backend_failed);
     }
--- /dev/null
+++ b/src/tests/gateway_test.cpp
@@ -0,0 +1,486 @@
+#include "core/gateway.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace cranberrywood;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** What a backend server may do with a request, and what follows from it. */
+struct fault_row
+{
+    const char* name;
+    bool repeatable;
+    bool written;
+    /** 0: no answer. */
+    unsigned status;
+    bool not_run;
+    bool receipt;
+    /** The request goes on to another server. */
+    bool sent_again;
+    /** Status class of the answer once the second server does the same. */
+    const char* answer;
+};
+
+const char* kind_of(const gateway_answer& answer)
+{
+    struct visitor
+    {
+        const char* operator()(const relayed_answer&) const
+        {
+            return "relayed";
+        }
+        const char* operator()(const gathered_answer&) const
+        {
+            return "gathered";
+        }
+        const char* operator()(const refused_answer&) const
+        {
+            return "refused";
+        }
+        const char* operator()(const failed_answer&) const
+        {
+            return "failed";
+        }
+    };
+    return std::visit(visitor{}, answer);
+}
+
+} // namespace
+
+TEST_GROUP(gateway)
+{
+    static constexpr std::uint32_t shards = 10;
+    seeded_random random{17};
+    time_point now{1h};
+    gateway core{settings(), random, now};
+    std::vector<start_exchange> started;
+    std::vector<exchange_id> cancelled;
+    std::vector<answer_to_caller> answers;
+    std::uint64_t tokens = 0;
+
+    static service_id service_of(std::uint64_t number)
+    {
+        return id_of<service_id>(std::to_string(number));
+    }
+    static gateway_settings settings()
+    {
+        gateway_settings s;
+        s.data_centre = data_centre_id(1);
+        s.member = {"10.0.0.1:7000", {"10.0.0.1:7000"}};
+        return s;
+    }
+    void setup() override
+    {
+        auto read = std::make_shared<catalogue>();
+        read->version = 3;
+        route orders;
+        orders.name = "orders";
+        orders.host = "a";
+        orders.prefix = "/orders/";
+        orders.target = forward_target{{{service_of(100), 1}}};
+        orders.max_sends = 2;
+        orders.timeout = 2s;
+        orders.target_latency = 400ms;
+        orders.open = true;
+        read->add_route(orders);
+        orders.name = "reads";
+        orders.prefix = "/reads/";
+        orders.repeatable = true;
+        read->add_route(orders);
+        route search = orders;
+        search.name = "search";
+        search.prefix = "/search/";
+        search.target_latency = 100ms;
+        search.timeout = 600ms;
+        gather_target from;
+        for (std::uint32_t shard = 0; shard < shards; ++shard) {
+            from.shards.push_back(service_of(shard + 1));
+        }
+        from.top_records = 3;
+        from.least_share = 0.89;
+        search.target = from;
+        read->add_route(search);
+        route keyed = orders;
+        keyed.name = "keyed";
+        keyed.prefix = "/keyed/";
+        keyed.open = false;
+        read->add_route(keyed);
+        workspace_entry desk;
+        desk.id = workspace_id(5);
+        desk.name = "desk";
+        read->add_workspace(desk, {"key"});
+        for (std::uint64_t id = 1; id <= shards; ++id) {
+            add_service(*read, id);
+        }
+        add_service(*read, 100);
+        feed(catalogue_read{read});
+        feed(store_contact{true});
+        now += 10s;
+        take(core.tick(now));
+        for (std::uint64_t id = 1; id <= shards; ++id) {
+            add_servers(id, 3);
+        }
+        add_servers(100, 3);
+    }
+    static void add_service(catalogue & to, std::uint64_t id)
+    {
+        service_entry entry;
+        entry.name = std::to_string(id);
+        entry.connections = 100;
+        to.add_service(entry);
+    }
+    void add_servers(std::uint64_t service, std::uint64_t count)
+    {
+        servers_reported report;
+        for (std::uint64_t i = 0; i < count; ++i) {
+            backend_server_entry e;
+            e.id = backend_server_id(service * 10 + i);
+            e.service = service_of(service);
+            e.name = std::to_string(e.id.value());
+            e.data_centre = data_centre_id(i + 1);
+            report.entries.push_back(e);
+        }
+        feed(report);
+    }
+    void feed(const gateway_event& event)
+    {
+        take(core.handle(event, now));
+    }
+    void take(const gateway_commands& commands)
+    {
+        for (const gateway_command& command : commands) {
+            if (const auto* start = std::get_if<start_exchange>(&command)) {
+                started.push_back(*start);
+            } else if (const auto* cancel =
+                           std::get_if<cancel_exchange>(&command)) {
+                cancelled.push_back(cancel->exchange);
+            } else if (const auto* answer =
+                           std::get_if<answer_to_caller>(&command)) {
+                answers.push_back(*answer);
+            }
+        }
+    }
+    /** Lets time pass in steps of a millisecond. */
+    void pass(duration length)
+    {
+        for (duration passed{0}; passed < length; passed += 1ms) {
+            now += 1ms;
+            take(core.tick(now));
+        }
+    }
+    caller_token ask(const std::string& path, const std::string& key = "",
+                     duration deadline = 5s)
+    {
+        auto outbound = std::make_shared<outbound_request>();
+        outbound->id = "id-" + std::to_string(++tokens);
+        outbound->method = "GET";
+        outbound->target = path;
+        feed(caller_asked{caller_token(tokens), "a", path, key, deadline, now,
+                          outbound});
+        return caller_token(tokens);
+    }
+    void reply(exchange_id exchange, unsigned status, bool not_run = false,
+               bool receipt = true, const std::string& body = "")
+    {
+        backend_answer answer;
+        answer.status = status;
+        answer.not_run = not_run;
+        answer.receipt =
+            receipt ? "receipt-" + std::to_string(exchange.value()) : "";
+        answer.message = std::make_shared<const relayed_message>(
+            relayed_message{status, "", body});
+        feed(exchange_ended{exchange, answer});
+    }
+    void lose(exchange_id exchange, bool written)
+    {
+        feed(exchange_ended{
+            exchange,
+            exchange_failure{written ? exchange_fault::connection_lost
+                                     : exchange_fault::not_connected}});
+    }
+    void play(exchange_id exchange, const fault_row& row)
+    {
+        if (row.status == 0) {
+            lose(exchange, row.written);
+        } else {
+            reply(exchange, row.status, row.not_run, row.receipt);
+        }
+    }
+    /** Gives the fleet enough requests for a budget of extra sends. */
+    void earn_budget(const std::string& path, int requests)
+    {
+        for (int i = 0; i < requests; ++i) {
+            ask(path);
+            for (const start_exchange& start : std::exchange(started, {})) {
+                reply(start.exchange, 200);
+            }
+            pass(1ms);
+        }
+        answers.clear();
+    }
+};
+
+TEST(gateway, a_request_goes_to_one_server_and_its_answer_back)
+{
+    const caller_token token = ask("/orders/1");
+    CHECK_EQUAL(1, started.size());
+    CHECK(!started[0].repeatable);
+    reply(started[0].exchange, 200);
+    CHECK_EQUAL(1, answers.size());
+    CHECK(answers[0].token == token);
+    const auto& relayed = std::get<relayed_answer>(answers[0].answer);
+    CHECK_EQUAL(200U, relayed.message->status);
+    CHECK(!relayed.receipt.empty());
+}
+
+// A request that may not be repeated goes on only when it is proved that the
+// server has not run it, and is refused only then.
+TEST(gateway, faults_of_backend_servers)
+{
+    const fault_row table[] = {
+        {"connection refused", false, false, 0, false, false, true, "refused"},
+        {"connection refused", true, false, 0, false, false, true, "refused"},
+        {"reset after writing", false, true, 0, false, false, false, "failed"},
+        {"reset after writing", true, true, 0, false, false, true, "failed"},
+        {"full, not run", false, true, 503, true, false, true, "refused"},
+        {"full, not run", true, true, 503, true, false, true, "refused"},
+        {"503 without proof", false, true, 503, false, true, false, "failed"},
+        {"503 without proof", true, true, 503, false, true, true, "relayed"},
+        {"own failure", false, true, 500, false, true, false, "relayed"},
+        {"own failure", true, true, 500, false, true, true, "relayed"},
+        {"success without receipt", false, true, 200, false, false, false,
+         "failed"},
+        {"success without receipt", true, true, 200, false, false, true,
+         "failed"},
+        {"not found", false, true, 404, false, true, false, "relayed"},
+        {"not found", true, true, 404, false, true, false, "relayed"},
+    };
+    for (const fault_row& row : table) {
+        const std::string path = row.repeatable ? "/reads/" : "/orders/";
+        earn_budget(path, 60);
+        pass(3s);
+        started.clear();
+        ask(path);
+        CHECK_EQUAL(1, started.size());
+        play(started[0].exchange, row);
+        LONGS_EQUAL_TEXT(row.sent_again ? 2 : 1, started.size(), row.name);
+        for (std::size_t i = 1; i < started.size(); ++i) {
+            CHECK(started[i].server != started[0].server);
+            play(started[i].exchange, row);
+        }
+        LONGS_EQUAL_TEXT(1, answers.size(), row.name);
+        STRCMP_EQUAL_TEXT(row.answer, kind_of(answers[0].answer), row.name);
+        answers.clear();
+    }
+}
+
+TEST(gateway, retries_stay_within_the_budget)
+{
+    int again = 0;
+    for (int i = 0; i < 100; ++i) {
+        ask("/reads/1");
+        const auto first = std::exchange(started, {});
+        lose(first[0].exchange, true);
+        again += started.empty() ? 0 : 1;
+        for (const start_exchange& start : std::exchange(started, {})) {
+            reply(start.exchange, 200);
+        }
+    }
+    // 17 of 100, and what is saved or earned besides.
+    CHECK(again >= 17);
+    CHECK(again <= 17 + 20);
+}
+
+TEST(gateway, a_gather_asks_every_shard_and_merges)
+{
+    ask("/search/1");
+    CHECK_EQUAL(shards, started.size());
+    std::vector<service_id> asked;
+    for (const start_exchange& start : std::exchange(started, {})) {
+        asked.push_back(service_id(start.server.value() / 10));
+        reply(start.exchange, 200, false, true,
+              std::string(16, static_cast<char>('a' + asked.size())));
+    }
+    std::sort(asked.begin(), asked.end());
+    CHECK(std::unique(asked.begin(), asked.end()) == asked.end());
+    const auto& gathered = std::get<gathered_answer>(answers[0].answer);
+    CHECK_EQUAL(shards, gathered.receipts.size());
+    CHECK_EQUAL(0U, gathered.missing);
+    CHECK(gathered.records ==
+          std::string(16, 'k') + std::string(16, 'j') + std::string(16, 'i'));
+}
+
+TEST(gateway, a_gather_answers_thin_at_its_target)
+{
+    ask("/search/1");
+    for (std::size_t i = 0; i + 1 < shards; ++i) {
+        reply(started[i].exchange, 200);
+    }
+    pass(91ms);
+    CHECK_EQUAL(0, answers.size());
+    pass(2ms);
+    CHECK_EQUAL(1, answers.size());
+    CHECK_EQUAL(1U, std::get<gathered_answer>(answers[0].answer).missing);
+}
+
+TEST(gateway, a_gather_without_its_least_share_fails_at_the_deadline)
+{
+    ask("/search/1", "", 300ms);
+    for (std::size_t i = 0; i + 2 < shards; ++i) {
+        reply(started[i].exchange, 200);
+    }
+    pass(299ms);
+    CHECK_EQUAL(0, answers.size());
+    pass(2ms);
+    CHECK(std::get<failed_answer>(answers[0].answer).why ==
+          failure_reason::timed_out);
+    CHECK(cancelled.size() >= 2);
+}
+
+TEST(gateway, a_gather_that_cannot_have_its_least_share_fails_at_once)
+{
+    for (std::uint64_t id = 10; id <= 32; ++id) {
+        feed(server_unlisted{backend_server_id(id)});
+    }
+    ask("/search/1");
+    CHECK_EQUAL(1, answers.size());
+}
+
+TEST(gateway, a_slow_call_is_hedged_once_to_another_server)
+{
+    earn_budget("/search/1", 60);
+    ask("/search/1");
+    const auto first = std::exchange(started, {});
+    for (std::size_t i = 1; i < shards; ++i) {
+        reply(first[i].exchange, 200);
+    }
+    pass(90ms);
+    CHECK_EQUAL(1, started.size());
+    CHECK(started[0].server != first[0].server);
+    CHECK_EQUAL(first[0].server.value() / 10, started[0].server.value() / 10);
+    reply(started[0].exchange, 200);
+    CHECK_EQUAL(0U, std::get<gathered_answer>(answers[0].answer).missing);
+    // The slow one is let finish for a while, then its connection is closed.
+    CHECK_EQUAL(0, cancelled.size());
+    pass(301ms);
+    CHECK_EQUAL(1, cancelled.size());
+    CHECK(cancelled[0] == first[0].exchange);
+}
+
+TEST(gateway, a_request_that_may_not_be_repeated_is_never_hedged)
+{
+    ask("/orders/1");
+    pass(1s);
+    CHECK_EQUAL(1, started.size());
+}
+
+TEST(gateway, when_the_caller_leaves_its_exchanges_end)
+{
+    const caller_token token = ask("/search/1");
+    feed(caller_left{token});
+    CHECK_EQUAL(shards, cancelled.size());
+    reply(started[0].exchange, 200);
+    pass(1s);
+    CHECK_EQUAL(0, answers.size());
+    CHECK_EQUAL(0, core.open_request_count());
+}
+
+TEST(gateway, keys_open_keyed_routes_only_to_their_workspace)
+{
+    ask("/keyed/1", "wrong");
+    CHECK(std::get<refused_answer>(answers[0].answer).why ==
+          refusal_reason::key_unknown);
+    ask("/keyed/1", "key");
+    CHECK_EQUAL(1, started.size());
+    STRCMP_EQUAL("desk", started[0].workspace.c_str());
+    ask("/nowhere/1");
+    CHECK(std::get<refused_answer>(answers[1].answer).why ==
+          refusal_reason::route_unknown);
+}
+
+TEST(gateway, an_older_configuration_is_never_put_in_force)
+{
+    auto older = std::make_shared<catalogue>();
+    older->version = 2;
+    feed(catalogue_read{older});
+    ask("/orders/1");
+    CHECK_EQUAL(1, started.size());
+}
+
+TEST(gateway, without_a_configuration_everything_is_refused_as_not_ready)
+{
+    gateway fresh(settings(), random, now);
+    caller_asked asked;
+    asked.token = caller_token(1);
+    asked.outbound = std::make_shared<outbound_request>();
+    const auto commands = fresh.handle(asked, now);
+    const auto& answer = std::get<answer_to_caller>(commands.back());
+    CHECK(std::get<refused_answer>(answer.answer).why ==
+          refusal_reason::not_ready);
+}
+
+TEST(gateway, an_evacuated_data_centre_gets_nothing)
+{
+    feed(evacuations_read{{data_centre_id(2), data_centre_id(3)}});
+    for (int i = 0; i < 20; ++i) {
+        ask("/orders/1");
+    }
+    for (const start_exchange& start : started) {
+        CHECK_EQUAL(1000U, start.server.value());
+    }
+    feed(evacuations_read{
+        {data_centre_id(1), data_centre_id(2), data_centre_id(3)}});
+    started.clear();
+    ask("/orders/1");
+    CHECK_EQUAL(0, started.size());
+    CHECK(std::get<refused_answer>(answers.back().answer).why ==
+          refusal_reason::no_server);
+}
+
+TEST(gateway, a_server_that_vanished_while_the_store_was_away_is_kept_a_while)
+{
+    feed(store_contact{false});
+    pass(1s);
+    feed(store_contact{true});
+    for (std::uint64_t id = 1000; id <= 1002; ++id) {
+        feed(server_unlisted{backend_server_id(id)});
+    }
+    ask("/orders/1");
+    CHECK_EQUAL(1, started.size());
+    pass(2300ms);
+    started.clear();
+    ask("/orders/1");
+    CHECK_EQUAL(0, started.size());
+}
+
+TEST(gateway, requests_wait_for_room_and_leave_in_order_of_rank)
+{
+    // 95 places at each of three servers.
+    for (int i = 0; i < 3 * 95; ++i) {
+        ask("/orders/" + std::to_string(i));
+    }
+    CHECK_EQUAL(3 * 95, started.size());
+    const caller_token last = ask("/orders/last");
+    CHECK_EQUAL(3 * 95, started.size());
+    CHECK_EQUAL(0, answers.size());
+    reply(started[0].exchange, 200);
+    CHECK_EQUAL(3 * 95 + 1, started.size());
+    reply(started.back().exchange, 200);
+    CHECK(answers.back().token == last);
+}
+
+TEST(gateway, equal_events_and_seeds_give_equal_commands)
+{
+    seeded_random one(9);
+    seeded_random two(9);
+    gateway first(settings(), one, now);
+    gateway second(settings(), two, now);
+    for (int i = 0; i < 50; ++i) {
+        now += 100ms;
+        CHECK_EQUAL(first.tick(now).size(), second.tick(now).size());
+        CHECK(first.next_wakeup() == second.next_wakeup());
+    }
+}
