--- a/src/loop/backend_links.cpp
+++ b/src/loop/backend_links.cpp
@@ -11,7 +11,17 @@
 {
 }
 
-backend_links::~backend_links() = default;
+backend_links::~backend_links()
+{
+    for (const auto& [exchange, connection] : m_busy) {
+        connection->close();
+    }
+    for (const auto& [server, p] : m_pools) {
+        for (const auto& connection : p.idle) {
+            connection->close();
+        }
+    }
+}
 
 void backend_links::start(const start_exchange& exchange, std::string bytes)
 {
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -210,6 +210,11 @@
     }
 }
 
+void caller_connection::close()
+{
+    m_stream->close();
+}
+
 void caller_connection::close_if_idle()
 {
     if (m_phase == phase::reading && m_reader.state() == read_state::empty) {
--- a/src/loop/caller_connection.hpp
+++ b/src/loop/caller_connection.hpp
@@ -21,6 +21,8 @@
     void answer(const http_answer_text& text, bool close, time_point now);
     /** Ends the connection when it is idle or slow for too long. */
     void sweep(time_point now);
+    /** Closes at once and tells nobody. */
+    void close();
     /** Closes unless a request is read or answered. */
     void close_if_idle();
 
--- a/src/loop/caller_front.cpp
+++ b/src/loop/caller_front.cpp
@@ -23,7 +23,12 @@
 {
 }
 
-caller_front::~caller_front() = default;
+caller_front::~caller_front()
+{
+    for (const auto& [key, connection] : m_connections) {
+        connection->close();
+    }
+}
 
 std::optional<std::string> caller_front::listen(const endpoint& address)
 {
--- /dev/null
+++ b/src/tests/loop/backend_links_test.cpp
@@ -0,0 +1,231 @@
+#include "loop/backend_links.hpp"
+#include "raw_peer.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <memory>
+
+using namespace cranberrywood;
+using namespace std::chrono_literals;
+using tests::raw_peer;
+using tests::run_until;
+
+namespace {
+
+/** Keeps how exchanges end; answers carry the id in a header of the test. */
+class recording_handler : public exchange_handler
+{
+public:
+    bool belongs(const http_response& response,
+                 const std::string& request_id) const override
+    {
+        const auto id = response["X-Id"];
+        return std::string(id.data(), id.size()) == request_id;
+    }
+    void exchange_answered(exchange_id /*exchange*/,
+                           http_response response) override
+    {
+        answers.push_back(std::move(response));
+    }
+    void exchange_failed(exchange_id /*exchange*/,
+                         exchange_fault fault) override
+    {
+        faults.push_back(fault);
+    }
+    std::size_t ended() const
+    {
+        return answers.size() + faults.size();
+    }
+
+    std::vector<http_response> answers;
+    std::vector<exchange_fault> faults;
+};
+
+struct answer_row
+{
+    const char* name;
+    std::string bytes;
+    /** The server closes behind the bytes. */
+    bool closes;
+    bool answered;
+    /** The connection may carry the next exchange. */
+    bool kept;
+};
+
+std::string answer(const std::string& id, const std::string& body,
+                   const std::string& more = "")
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_GROUP(backend_links)
+{
+    boost::asio::io_context io;
+    tests::stepped_clock time;
+    std::unique_ptr<loop_context> loop;
+    recording_handler handler;
+    std::unique_ptr<backend_links> links;
+    std::unique_ptr<tests::raw_listener> server;
+    std::uint64_t exchanges = 0;
+
+    void setup() override
+    {
+        loop.reset(new loop_context{io, time});
+        links = std::make_unique<backend_links>(*loop, handler);
+        server = std::make_unique<tests::raw_listener>();
+    }
+    void teardown() override
+    {
+        time.step(1h);
+        links->sweep(time.now());
+        links.reset();
+        io.restart();
+        io.poll();
+        loop.reset();
+    }
+    exchange_id start(const std::string& id)
+    {
+        start_exchange e;
+        e.exchange = exchange_id(++exchanges);
+        e.server = backend_server_id(1);
+        e.address = {"127.0.0.1", server->port()};
+        auto request = std::make_shared<outbound_request>();
+        request->id = id;
+        request->method = "GET";
+        e.request = request;
+        links->start(e, "GET /" + id + " HTTP/1.1\r\n\r\n");
+        return e.exchange;
+    }
+    std::unique_ptr<raw_peer> accept()
+    {
+        int socket = -1;
+        CHECK(run_until(io, [&] {
+            socket = server->accept();
+            return socket >= 0;
+        }));
+        return std::make_unique<raw_peer>(socket);
+    }
+    void await_request(raw_peer & peer, const std::string& id)
+    {
+        CHECK(run_until(io, [&] {
+            return peer.received().find("GET /" + id + " ") !=
+                   std::string::npos;
+        }));
+    }
+    void await_end(std::size_t count)
+    {
+        CHECK(run_until(io, [&] { return handler.ended() >= count; }));
+    }
+};
+
+TEST(backend_links, what_servers_answer)
+{
+    const std::string good = answer("a", "part");
+    const answer_row table[] = {
+        {"whole", good, false, true, true},
+        {"says close", answer("a", "part", "Connection: close\r\n"), false,
+         true, false},
+        {"interim first", "HTTP/1.1 100 Continue\r\n\r\n" + good, false, true,
+         true},
+        {"another's first", answer("z", "late") + good, false, true, false},
+        {"extra bytes behind", good + "HTTP/1.1 200 OK\r\n", false, true,
+         false},
+        {"second answer behind", good + good, false, true, false},
+        {"ends with its connection", "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart",
+         true, true, false},
+        {"garbage", "\x05\x06garbage\r\n\r\n", false, false, false},
+        {"truncated", good.substr(0, good.size() - 2), true, false, false},
+        {"closed without an answer", "", true, false, false},
+        {"only others'", answer("x", "") + answer("y", "") + answer("z", ""),
+         false, false, false},
+    };
+    std::size_t count = 0;
+    for (const answer_row& row : table) {
+        const std::size_t answered = handler.answers.size();
+        start("a");
+        const auto peer = accept();
+        await_request(*peer, "a");
+        peer->send(row.bytes);
+        if (row.closes) {
+            peer->close();
+        }
+        await_end(++count);
+        LONGS_EQUAL_TEXT(row.answered ? 1 : 0,
+                         handler.answers.size() - answered, row.name);
+        if (row.answered) {
+            CHECK_TEXT(handler.answers.back().body() == "part", row.name);
+        }
+        LONGS_EQUAL_TEXT(row.kept ? 1 : 0, links->idle_connections(), row.name);
+        time.step(1h);
+        links->sweep(time.now());
+    }
+}
+
+TEST(backend_links, a_kept_connection_carries_the_next_exchange)
+{
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    peer->send(answer("a", "1"));
+    await_end(1);
+    start("b");
+    await_request(*peer, "b");
+    peer->send(answer("b", "2"));
+    await_end(2);
+    CHECK_EQUAL(1U, links->connections_opened());
+}
+
+TEST(backend_links, bytes_that_nobody_asked_for_end_an_idle_connection)
+{
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    peer->send(answer("a", "1"));
+    await_end(1);
+    peer->send(answer("a", "1"));
+    CHECK(run_until(io, [&] { return links->idle_connections() == 0; }));
+    CHECK(run_until(io, [&] { return peer->ended(); }));
+}
+
+TEST(backend_links, an_idle_connection_is_closed_before_the_server_does)
+{
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    peer->send(answer("a", "1", "Keep-Alive: timeout=2\r\n"));
+    await_end(1);
+    time.step(1600ms);
+    links->sweep(time.now());
+    CHECK_EQUAL(0, links->idle_connections());
+}
+
+TEST(backend_links, a_port_without_a_listener_is_told_as_not_connected)
+{
+    server->close();
+    start("a");
+    await_end(1);
+    CHECK(handler.faults[0] == exchange_fault::not_connected);
+}
+
+TEST(backend_links, a_reset_is_told_as_a_lost_connection)
+{
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    peer->reset();
+    await_end(1);
+    CHECK(handler.faults[0] == exchange_fault::connection_lost);
+}
+
+TEST(backend_links,
+     a_cancelled_exchange_closes_its_connection_and_tells_nothing)
+{
+    const exchange_id exchange = start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    links->cancel(exchange);
+    CHECK(run_until(io, [&] { return peer->ended(); }));
+    CHECK_EQUAL(0, handler.ended());
+}
--- /dev/null
+++ b/src/tests/loop/gateway_codec_test.cpp
@@ -0,0 +1,93 @@
+#include <rapidcheck.h>
+
+#include "core/random_source.hpp"
+#include "wire/gateway_codec.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cranberrywood;
+using namespace std::chrono_literals;
+
+namespace {
+
+gateway_datagram sample()
+{
+    gateway_datagram datagram;
+    datagram.process = incarnation(77);
+    datagram.fleet_size = 8;
+    datagram.settled = true;
+    datagram.members = {{"10.0.0.1:7000", 3s}, {"10.0.0.2:7000", 0s}};
+    datagram.asks = {{5, workspace_id(9), 3}};
+    datagram.grants = {{6, workspace_id(9), 2, 1s}};
+    return datagram;
+}
+
+mirror_update update()
+{
+    mirror_update u;
+    u.place = 41;
+    u.process = incarnation(3);
+    u.whole = true;
+    u.at = store_revision(900);
+    u.store_reachable = true;
+    u.items = {{"key", store_revision(8), false, std::string("\0\xff", 2)},
+               {"gone", store_revision(9), true, ""}};
+    return u;
+}
+
+} // namespace
+
+TEST_GROUP(gateway_codec){};
+
+TEST(gateway_codec, a_datagram_comes_back_as_it_was)
+{
+    const auto read = decode_gateway_datagram(encode(sample()));
+    const auto& datagram = std::get<gateway_datagram>(read);
+    CHECK(datagram.process == incarnation(77));
+    CHECK_EQUAL(8U, datagram.fleet_size);
+    CHECK(datagram.settled);
+    CHECK(datagram.members[0].age == duration(3s));
+    CHECK_EQUAL(3U, datagram.asks[0].tokens);
+    CHECK(datagram.grants[0].workspace == workspace_id(9));
+    CHECK(datagram.grants[0].term == duration(1s));
+}
+
+TEST(gateway_codec, an_update_comes_back_as_it_was)
+{
+    const auto read = decode_mirror_update(encode(update()));
+    const auto& u = std::get<mirror_update>(read);
+    CHECK(u.at == store_revision(900));
+    CHECK(u.whole && u.store_reachable && !u.store_steady);
+    CHECK(u.items[0].bytes == std::string("\0\xff", 2));
+    CHECK(u.items[1].removed);
+}
+
+TEST(gateway_codec, truncated_or_longer_bytes_are_refused)
+{
+    const std::string bytes = encode(sample());
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK(std::holds_alternative<wire_error>(
+            decode_gateway_datagram(bytes.substr(0, size))));
+    }
+    CHECK(std::holds_alternative<wire_error>(
+        decode_gateway_datagram(bytes + "x")));
+}
+
+TEST(gateway_codec, changed_bytes_are_read_or_refused)
+{
+    const std::string datagram = encode(sample());
+    const std::string mirrored = encode(update());
+    seeded_random random(20261204);
+    for (int i = 0; i < 20000; ++i) {
+        std::string one = datagram;
+        one[random.below(one.size())] = static_cast<char>(random.below(256));
+        const auto read = decode_gateway_datagram(one);
+        CHECK(std::holds_alternative<wire_error>(read) ||
+              std::holds_alternative<gateway_datagram>(read));
+        std::string two = mirrored;
+        two[random.below(two.size())] = static_cast<char>(random.below(256));
+        const auto other = decode_mirror_update(two);
+        CHECK(std::holds_alternative<wire_error>(other) ||
+              std::holds_alternative<mirror_update>(other));
+    }
+}
--- /dev/null
+++ b/src/tests/loop/message_reader_test.cpp
@@ -0,0 +1,113 @@
+#include <rapidcheck.h>
+
+#include "loop/message_reader.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cranberrywood;
+
+namespace {
+
+struct stream_row
+{
+    const char* name;
+    std::string bytes;
+    read_state state;
+};
+
+const message_limits limits{200, 20};
+
+} // namespace
+
+TEST_GROUP(message_reader){};
+
+TEST(message_reader, faults_of_requests)
+{
+    const std::string head = "GET /a HTTP/1.1\r\nHost: x\r\n";
+    const std::string post = "POST /a HTTP/1.1\r\nHost: x\r\n";
+    const stream_row table[] = {
+        {"nothing", "", read_state::empty},
+        {"half a line", "GET /a HT", read_state::partial},
+        {"no blank line", head, read_state::partial},
+        {"whole", head + "\r\n", read_state::complete},
+        {"no request", "\x16\x03\x01 hello\r\n\r\n", read_state::malformed},
+        {"bad version", "GET /a HTTP/9.9\r\n\r\n", read_state::malformed},
+        {"header without colon", head + "abc\r\n\r\n", read_state::malformed},
+        {"body short", post + "Content-Length: 5\r\n\r\nabc",
+         read_state::partial},
+        {"body whole", post + "Content-Length: 3\r\n\r\nabc",
+         read_state::complete},
+        {"length no number", post + "Content-Length: 3x\r\n\r\nabc",
+         read_state::malformed},
+        {"length negative", post + "Content-Length: -3\r\n\r\nabc",
+         read_state::malformed},
+        {"two lengths",
+         post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+         read_state::malformed},
+        {"length and chunks",
+         post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+         read_state::malformed},
+        {"chunks",
+         post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+         read_state::complete},
+        {"chunk size no number",
+         post + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+         read_state::malformed},
+        {"chunk too long",
+         post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+         read_state::malformed},
+        {"header too large", head + "X: " + std::string(300, 'x') + "\r\n\r\n",
+         read_state::header_too_large},
+        {"body too large", post + "Content-Length: 21\r\n\r\n",
+         read_state::body_too_large},
+    };
+    for (const stream_row& row : table) {
+        request_reader whole(limits);
+        CHECK_TEXT(whole.feed(row.bytes) == row.state, row.name);
+        request_reader bytewise(limits);
+        for (const char byte : row.bytes) {
+            bytewise.feed(std::string_view(&byte, 1));
+        }
+        CHECK_TEXT(bytewise.state() == row.state, row.name);
+    }
+}
+
+TEST(message_reader, requests_behind_one_another_come_in_order)
+{
+    request_reader reader(limits);
+    reader.feed("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3");
+    CHECK(reader.take().target() == "/1");
+    CHECK(reader.resume() == read_state::complete);
+    CHECK(reader.take().target() == "/2");
+    CHECK(reader.resume() == read_state::partial);
+}
+
+TEST(message_reader, an_answer_may_end_with_its_stream)
+{
+    response_reader reader(limits);
+    CHECK(reader.feed("HTTP/1.1 200 OK\r\n\r\nabc") == read_state::partial);
+    CHECK(reader.feed_end() == read_state::complete);
+    CHECK(reader.take().body() == "abc");
+}
+
+TEST(message_reader, an_answer_that_ends_early_is_malformed)
+{
+    response_reader reader(limits);
+    reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+    CHECK(reader.feed_end() == read_state::malformed);
+}
+
+TEST(message_reader, property_any_bytes_end_in_a_state)
+{
+    const bool holds = rc::check([](const std::string& bytes) {
+        request_reader requests(limits);
+        requests.feed("POST / HTTP/1.1\r\n");
+        requests.feed(bytes);
+        response_reader responses(limits);
+        responses.feed("HTTP/1.1 ");
+        responses.feed(bytes);
+        responses.feed_end();
+        RC_ASSERT(responses.state() != read_state::empty);
+    });
+    CHECK(holds);
+}
