--- a/src/io/backend_links.hpp
+++ b/src/io/backend_links.hpp
@@ -3,8 +3,8 @@
 
 #include "io/actor_messages.hpp"
 #include "io/connector.hpp"
-#include "units/endpoint.hpp"
 #include "io/metrics.hpp"
+#include "units/endpoint.hpp"
 #include "wire/backend_codec.hpp"
 #include "wire/frame_reader.hpp"
 
--- a/src/io/vm_process.cpp
+++ b/src/io/vm_process.cpp
@@ -1,13 +1,13 @@
 #include "io/vm_process.hpp"
 
 #include "io/backend_links.hpp"
-#include "loop/boot_clock.hpp"
 #include "io/configuration_reader.hpp"
 #include "io/connector.hpp"
 #include "io/http_front.hpp"
 #include "io/log_sink.hpp"
 #include "io/node_actor.hpp"
 #include "io/peer_links.hpp"
+#include "loop/boot_clock.hpp"
 
 #include <random>
 
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -193,10 +193,7 @@
             if (age > m_limits.idle_timeout) {
                 end();
             }
-        } else if (age > m_limits.header_timeout &&
-                   !m_reader.header_complete()) {
-            refuse_slow();
-        } else if (age > m_limits.header_timeout + m_limits.idle_timeout) {
+        } else if (age > time_for_request()) {
             refuse_slow();
         }
         return;
@@ -210,6 +207,14 @@
     }
 }
 
+/** Returns the time that a caller has from the first byte on. */
+duration caller_connection::time_for_request() const
+{
+    return m_reader.header_complete()
+               ? m_limits.header_timeout + m_limits.idle_timeout
+               : m_limits.header_timeout;
+}
+
 void caller_connection::close()
 {
     m_stream->close();
--- a/src/loop/caller_connection.hpp
+++ b/src/loop/caller_connection.hpp
@@ -45,7 +45,7 @@
     void request_complete();
     void refuse(read_state state);
     void refuse_slow();
-    void write_refusal(unsigned status, const char* reason);
+    duration time_for_request() const;
     void write(const http_answer_text& text, bool close);
     void linger();
     void end();
--- a/src/loop/gateway_file.cpp
+++ b/src/loop/gateway_file.cpp
@@ -24,7 +24,7 @@
     while (std::getline(list, item, ',')) {
         endpoint read;
         if (auto error = take_endpoint(item, read); !error.empty()) {
-            return item + " " + error;
+            return item.append(" ").append(error);
         }
         to.push_back(read);
     }
--- a/src/systems/latency_estimate.cpp
+++ b/src/systems/latency_estimate.cpp
@@ -19,8 +19,7 @@
 } // namespace
 
 template <class Key>
-void latency_histograms<Key>::observe(Key key, duration latency,
-                                      time_point now)
+void latency_histograms<Key>::observe(Key key, duration latency, time_point now)
 {
     histogram& h = m_histograms[key];
     if (h.total == 0) {
--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 /** Time in which a fleet that starts together gets to know itself. */
-constexpr duration settling_time = 1500ms;
+constexpr duration settling_time = 1s;
 /** Time after which a VM goes by those it knows, though it heard of more. */
 constexpr duration longest_settling = 10s;
 /** Silence after which a VM is not asked for anything. */
@@ -77,6 +77,7 @@
     std::sort(order.begin(), order.end());
     order.resize(std::min(order.size(), most));
     std::vector<std::string> addresses;
+    addresses.reserve(order.size());
     for (auto& [hash, address] : order) {
         addresses.push_back(std::move(address));
     }
--- a/src/tests/standins/backend_broker.hpp
+++ b/src/tests/standins/backend_broker.hpp
@@ -1,8 +1,8 @@
 #ifndef CRANBERRYWOOD_TESTS_STANDINS_BACKEND_BROKER_HPP
 #define CRANBERRYWOOD_TESTS_STANDINS_BACKEND_BROKER_HPP
 
-#include "loop/boot_clock.hpp"
 #include "io/caf_headers.hpp"
+#include "loop/boot_clock.hpp"
 #include "tests/standins/standin_server.hpp"
 #include "wire/backend_codec.hpp"
 #include "wire/frame_reader.hpp"
