--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -2,8 +2,8 @@
 #define CRANBERRYWOOD_CORE_CALL_SENDER_HPP
 
 #include "core/gateway_settings.hpp"
-#include "systems/extra_budget.hpp"
-#include "systems/latency_estimate.hpp"
+#include "systems/queries/extra_budget.hpp"
+#include "systems/queries/latency_estimate.hpp"
 #include "systems/queries/waiting_calls.hpp"
 #include "systems/servers/server_choice.hpp"
 #include "systems/servers/server_directory.hpp"
--- a/src/core/node_status.hpp
+++ b/src/core/node_status.hpp
@@ -1,7 +1,7 @@
 #ifndef CRANBERRYWOOD_CORE_NODE_STATUS_HPP
 #define CRANBERRYWOOD_CORE_NODE_STATUS_HPP
 
-#include "systems/level_report.hpp"
+#include "systems/queries/level_report.hpp"
 #include "units/ids.hpp"
 
 #include <cstdint>
--- a/src/core/role_view.hpp
+++ b/src/core/role_view.hpp
@@ -1,7 +1,7 @@
 #ifndef CRANBERRYWOOD_CORE_ROLE_VIEW_HPP
 #define CRANBERRYWOOD_CORE_ROLE_VIEW_HPP
 
-#include "systems/role_map.hpp"
+#include "systems/members/role_map.hpp"
 
 namespace cranberrywood {
 
--- a/src/cranberrywoodctl/burn_report.hpp
+++ b/src/cranberrywoodctl/burn_report.hpp
@@ -2,7 +2,7 @@
 #define CRANBERRYWOOD_CRANBERRYWOODCTL_BURN_REPORT_HPP
 
 #include "settings/settings.hpp"
-#include "systems/level_report.hpp"
+#include "systems/queries/level_report.hpp"
 
 #include <map>
 #include <optional>
--- a/src/cranberrywoodctl/digest_command.cpp
+++ b/src/cranberrywoodctl/digest_command.cpp
@@ -1,7 +1,7 @@
 #include "cranberrywoodctl/digest_command.hpp"
 
 #include "settings/value_text.hpp"
-#include "systems/key_check.hpp"
+#include "systems/settings/key_check.hpp"
 
 #include <iostream>
 
--- a/src/systems/id_records.cpp
+++ b/src/systems/lookups/id_records.cpp
@@ -1,4 +1,4 @@
-#include "systems/id_records.hpp"
+#include "systems/lookups/id_records.hpp"
 
 #include <algorithm>
 
--- a/src/systems/id_records.hpp
+++ b/src/systems/lookups/id_records.hpp
@@ -1,11 +1,11 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_ID_RECORDS_HPP
-#define CRANBERRYWOOD_SYSTEMS_ID_RECORDS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_LOOKUPS_ID_RECORDS_HPP
+#define CRANBERRYWOOD_SYSTEMS_LOOKUPS_ID_RECORDS_HPP
 
 #include "core/node_identity.hpp"
 #include "core/outbox.hpp"
 #include "core/role_view.hpp"
-#include "systems/record_groups.hpp"
-#include "systems/replica_picker.hpp"
+#include "systems/lookups/record_groups.hpp"
+#include "systems/servers/replica_picker.hpp"
 #include "tables/id_record_table.hpp"
 
 #include <memory>
--- a/src/systems/lookup_client.cpp
+++ b/src/systems/lookups/lookup_client.cpp
@@ -1,4 +1,4 @@
-#include "systems/lookup_client.hpp"
+#include "systems/lookups/lookup_client.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/lookup_router.cpp
+++ b/src/systems/lookups/lookup_router.cpp
@@ -1,4 +1,4 @@
-#include "systems/lookup_router.hpp"
+#include "systems/lookups/lookup_router.hpp"
 
 #include <algorithm>
 
--- a/src/systems/lookup_router.hpp
+++ b/src/systems/lookups/lookup_router.hpp
@@ -1,12 +1,12 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_LOOKUP_ROUTER_HPP
-#define CRANBERRYWOOD_SYSTEMS_LOOKUP_ROUTER_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_LOOKUPS_LOOKUP_ROUTER_HPP
+#define CRANBERRYWOOD_SYSTEMS_LOOKUPS_LOOKUP_ROUTER_HPP
 
 #include "core/random_source.hpp"
 #include "core/role_view.hpp"
-#include "systems/replica_choice.hpp"
-#include "systems/replica_picker.hpp"
-#include "systems/rights_check.hpp"
-#include "systems/version_pins.hpp"
+#include "systems/queries/version_pins.hpp"
+#include "systems/servers/replica_choice.hpp"
+#include "systems/servers/replica_picker.hpp"
+#include "systems/settings/rights_check.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/record_groups.cpp
+++ b/src/systems/lookups/record_groups.cpp
@@ -1,4 +1,4 @@
-#include "systems/record_groups.hpp"
+#include "systems/lookups/record_groups.hpp"
 
 #include <algorithm>
 
--- a/src/systems/sequence_window.cpp
+++ b/src/systems/lookups/sequence_window.cpp
@@ -1,4 +1,4 @@
-#include "systems/sequence_window.hpp"
+#include "systems/lookups/sequence_window.hpp"
 
 #include <algorithm>
 
--- a/src/systems/grant_quorum.cpp
+++ b/src/systems/members/grant_quorum.cpp
@@ -1,4 +1,4 @@
-#include "systems/grant_quorum.hpp"
+#include "systems/members/grant_quorum.hpp"
 
 #include <algorithm>
 #include <functional>
--- a/src/systems/heartbeats.hpp
+++ b/src/systems/members/heartbeats.hpp
@@ -1,11 +1,11 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_HEARTBEATS_HPP
-#define CRANBERRYWOOD_SYSTEMS_HEARTBEATS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_HEARTBEATS_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_HEARTBEATS_HPP
 
 #include "core/events.hpp"
 #include "core/node_identity.hpp"
 #include "core/outbox.hpp"
 #include "settings/settings.hpp"
-#include "systems/vm_liveness.hpp"
+#include "systems/members/vm_liveness.hpp"
 
 #include <memory>
 #include <optional>
--- a/src/systems/holder_hints.cpp
+++ b/src/systems/members/holder_hints.cpp
@@ -1,4 +1,4 @@
-#include "systems/holder_hints.hpp"
+#include "systems/members/holder_hints.hpp"
 
 #include <algorithm>
 
--- a/src/systems/lease_candidate.cpp
+++ b/src/systems/members/lease_candidate.cpp
@@ -1,4 +1,4 @@
-#include "systems/lease_candidate.hpp"
+#include "systems/members/lease_candidate.hpp"
 
 #include <algorithm>
 
--- a/src/systems/lease_candidate.hpp
+++ b/src/systems/members/lease_candidate.hpp
@@ -1,14 +1,14 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_LEASE_CANDIDATE_HPP
-#define CRANBERRYWOOD_SYSTEMS_LEASE_CANDIDATE_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_LEASE_CANDIDATE_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_LEASE_CANDIDATE_HPP
 
 #include "core/node_identity.hpp"
 #include "core/outbox.hpp"
 #include "core/random_source.hpp"
-#include "systems/grant_quorum.hpp"
-#include "systems/lease_policy.hpp"
-#include "systems/lease_rounds.hpp"
-#include "systems/memberships.hpp"
-#include "systems/role_preference.hpp"
+#include "systems/members/grant_quorum.hpp"
+#include "systems/members/lease_policy.hpp"
+#include "systems/members/lease_rounds.hpp"
+#include "systems/members/memberships.hpp"
+#include "systems/members/role_preference.hpp"
 
 #include <map>
 #include <unordered_set>
--- a/src/systems/lease_policy.cpp
+++ b/src/systems/members/lease_policy.cpp
@@ -1,4 +1,4 @@
-#include "systems/lease_policy.hpp"
+#include "systems/members/lease_policy.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/lease_rounds.cpp
+++ b/src/systems/members/lease_rounds.cpp
@@ -1,4 +1,4 @@
-#include "systems/lease_rounds.hpp"
+#include "systems/members/lease_rounds.hpp"
 
 #include <algorithm>
 
--- a/src/systems/lease_rounds.hpp
+++ b/src/systems/members/lease_rounds.hpp
@@ -1,8 +1,8 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_LEASE_ROUNDS_HPP
-#define CRANBERRYWOOD_SYSTEMS_LEASE_ROUNDS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_LEASE_ROUNDS_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_LEASE_ROUNDS_HPP
 
 #include "core/outbox.hpp"
-#include "systems/memberships.hpp"
+#include "systems/members/memberships.hpp"
 
 #include <map>
 
--- a/src/systems/lease_witness.cpp
+++ b/src/systems/members/lease_witness.cpp
@@ -1,4 +1,4 @@
-#include "systems/lease_witness.hpp"
+#include "systems/members/lease_witness.hpp"
 
 #include <algorithm>
 
--- a/src/systems/lease_witness.hpp
+++ b/src/systems/members/lease_witness.hpp
@@ -1,10 +1,10 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_LEASE_WITNESS_HPP
-#define CRANBERRYWOOD_SYSTEMS_LEASE_WITNESS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_LEASE_WITNESS_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_LEASE_WITNESS_HPP
 
 #include "core/messages.hpp"
 #include "core/node_identity.hpp"
-#include "systems/lease_policy.hpp"
-#include "systems/memberships.hpp"
+#include "systems/members/lease_policy.hpp"
+#include "systems/members/memberships.hpp"
 
 #include <unordered_map>
 #include <unordered_set>
--- a/src/systems/memberships.cpp
+++ b/src/systems/members/memberships.cpp
@@ -1,4 +1,4 @@
-#include "systems/memberships.hpp"
+#include "systems/members/memberships.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/memberships.hpp
+++ b/src/systems/members/memberships.hpp
@@ -1,7 +1,7 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERSHIPS_HPP
-#define CRANBERRYWOOD_SYSTEMS_MEMBERSHIPS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_MEMBERSHIPS_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_MEMBERSHIPS_HPP
 
-#include "systems/role_layout.hpp"
+#include "systems/members/role_layout.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/peer_sessions.cpp
+++ b/src/systems/members/peer_sessions.cpp
@@ -1,4 +1,4 @@
-#include "systems/peer_sessions.hpp"
+#include "systems/members/peer_sessions.hpp"
 
 #include <algorithm>
 
--- a/src/systems/peer_sessions.hpp
+++ b/src/systems/members/peer_sessions.hpp
@@ -1,9 +1,9 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_PEER_SESSIONS_HPP
-#define CRANBERRYWOOD_SYSTEMS_PEER_SESSIONS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_PEER_SESSIONS_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_PEER_SESSIONS_HPP
 
 #include "core/messages.hpp"
 #include "core/node_identity.hpp"
-#include "systems/sequence_window.hpp"
+#include "systems/lookups/sequence_window.hpp"
 
 #include <optional>
 #include <unordered_map>
--- a/src/systems/role_duties.cpp
+++ b/src/systems/members/role_duties.cpp
@@ -1,4 +1,4 @@
-#include "systems/role_duties.hpp"
+#include "systems/members/role_duties.hpp"
 
 #include <algorithm>
 
--- a/src/systems/role_duties.hpp
+++ b/src/systems/members/role_duties.hpp
@@ -1,10 +1,10 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_ROLE_DUTIES_HPP
-#define CRANBERRYWOOD_SYSTEMS_ROLE_DUTIES_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_ROLE_DUTIES_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_ROLE_DUTIES_HPP
 
-#include "systems/id_records.hpp"
-#include "systems/owner_dispatch.hpp"
-#include "systems/rate_home.hpp"
-#include "systems/role_leases.hpp"
+#include "systems/lookups/id_records.hpp"
+#include "systems/members/role_leases.hpp"
+#include "systems/rates/rate_home.hpp"
+#include "systems/servers/owner_dispatch.hpp"
 
 #include <set>
 
--- a/src/systems/role_layout.cpp
+++ b/src/systems/members/role_layout.cpp
@@ -1,4 +1,4 @@
-#include "systems/role_layout.hpp"
+#include "systems/members/role_layout.hpp"
 
 #include <algorithm>
 
--- a/src/systems/role_layout.hpp
+++ b/src/systems/members/role_layout.hpp
@@ -1,7 +1,7 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_ROLE_LAYOUT_HPP
-#define CRANBERRYWOOD_SYSTEMS_ROLE_LAYOUT_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_ROLE_LAYOUT_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_ROLE_LAYOUT_HPP
 
-#include "systems/role_map.hpp"
+#include "systems/members/role_map.hpp"
 
 #include <memory>
 #include <unordered_map>
--- a/src/systems/role_leases.cpp
+++ b/src/systems/members/role_leases.cpp
@@ -1,4 +1,4 @@
-#include "systems/role_leases.hpp"
+#include "systems/members/role_leases.hpp"
 
 #include <algorithm>
 
--- a/src/systems/role_leases.hpp
+++ b/src/systems/members/role_leases.hpp
@@ -1,12 +1,12 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_ROLE_LEASES_HPP
-#define CRANBERRYWOOD_SYSTEMS_ROLE_LEASES_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_ROLE_LEASES_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_ROLE_LEASES_HPP
 
 #include "core/events.hpp"
 #include "core/role_view.hpp"
-#include "systems/holder_hints.hpp"
-#include "systems/lease_candidate.hpp"
-#include "systems/lease_witness.hpp"
-#include "systems/role_preference.hpp"
+#include "systems/members/holder_hints.hpp"
+#include "systems/members/lease_candidate.hpp"
+#include "systems/members/lease_witness.hpp"
+#include "systems/members/role_preference.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/role_preference.cpp
+++ b/src/systems/members/role_preference.cpp
@@ -1,4 +1,4 @@
-#include "systems/role_preference.hpp"
+#include "systems/members/role_preference.hpp"
 
 #include <algorithm>
 
--- a/src/systems/role_preference.hpp
+++ b/src/systems/members/role_preference.hpp
@@ -1,10 +1,10 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_ROLE_PREFERENCE_HPP
-#define CRANBERRYWOOD_SYSTEMS_ROLE_PREFERENCE_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_MEMBERS_ROLE_PREFERENCE_HPP
+#define CRANBERRYWOOD_SYSTEMS_MEMBERS_ROLE_PREFERENCE_HPP
 
 #include "core/node_identity.hpp"
-#include "systems/lease_witness.hpp"
-#include "systems/memberships.hpp"
-#include "systems/vm_liveness.hpp"
+#include "systems/members/lease_witness.hpp"
+#include "systems/members/memberships.hpp"
+#include "systems/members/vm_liveness.hpp"
 
 #include <unordered_map>
 
--- a/src/systems/admission.cpp
+++ b/src/systems/queries/admission.cpp
@@ -1,4 +1,4 @@
-#include "systems/admission.hpp"
+#include "systems/queries/admission.hpp"
 
 #include <algorithm>
 
--- a/src/systems/admission.hpp
+++ b/src/systems/queries/admission.hpp
@@ -1,10 +1,10 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_ADMISSION_HPP
-#define CRANBERRYWOOD_SYSTEMS_ADMISSION_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_ADMISSION_HPP
+#define CRANBERRYWOOD_SYSTEMS_QUERIES_ADMISSION_HPP
 
 #include "core/outbox.hpp"
-#include "systems/fair_queue.hpp"
-#include "systems/rate_borrower.hpp"
-#include "systems/request_check.hpp"
+#include "systems/queries/fair_queue.hpp"
+#include "systems/queries/request_check.hpp"
+#include "systems/rates/rate_borrower.hpp"
 
 #include <map>
 
--- a/src/systems/extra_budget.cpp
+++ b/src/systems/queries/extra_budget.cpp
@@ -1,4 +1,4 @@
-#include "systems/extra_budget.hpp"
+#include "systems/queries/extra_budget.hpp"
 
 #include <algorithm>
 
--- a/src/systems/hit_merge.cpp
+++ b/src/systems/queries/hit_merge.cpp
@@ -1,4 +1,4 @@
-#include "systems/hit_merge.hpp"
+#include "systems/queries/hit_merge.hpp"
 
 #include <algorithm>
 #include <iterator>
--- a/src/systems/latency_estimate.cpp
+++ b/src/systems/queries/latency_estimate.cpp
@@ -1,4 +1,4 @@
-#include "systems/latency_estimate.hpp"
+#include "systems/queries/latency_estimate.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/systems/level_report.cpp
+++ b/src/systems/queries/level_report.cpp
@@ -1,4 +1,4 @@
-#include "systems/level_report.hpp"
+#include "systems/queries/level_report.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/quarantine.cpp
+++ b/src/systems/queries/quarantine.cpp
@@ -1,4 +1,4 @@
-#include "systems/quarantine.hpp"
+#include "systems/queries/quarantine.hpp"
 
 #include <algorithm>
 
--- a/src/systems/quarantine.hpp
+++ b/src/systems/queries/quarantine.hpp
@@ -1,10 +1,10 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_QUARANTINE_HPP
-#define CRANBERRYWOOD_SYSTEMS_QUARANTINE_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_QUARANTINE_HPP
+#define CRANBERRYWOOD_SYSTEMS_QUERIES_QUARANTINE_HPP
 
 #include "core/outbox.hpp"
 #include "core/role_view.hpp"
-#include "systems/repeat_gate.hpp"
-#include "systems/request_at_death.hpp"
+#include "systems/queries/repeat_gate.hpp"
+#include "systems/queries/request_at_death.hpp"
 
 #include <map>
 #include <memory>
--- a/src/systems/query_coordinator.cpp
+++ b/src/systems/queries/query_coordinator.cpp
@@ -1,6 +1,6 @@
-#include "systems/query_coordinator.hpp"
+#include "systems/queries/query_coordinator.hpp"
 
-#include "systems/hit_merge.hpp"
+#include "systems/queries/hit_merge.hpp"
 
 #include <algorithm>
 
--- a/src/systems/query_coordinator.hpp
+++ b/src/systems/queries/query_coordinator.hpp
@@ -1,7 +1,7 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_QUERY_COORDINATOR_HPP
-#define CRANBERRYWOOD_SYSTEMS_QUERY_COORDINATOR_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_QUERY_COORDINATOR_HPP
+#define CRANBERRYWOOD_SYSTEMS_QUERIES_QUERY_COORDINATOR_HPP
 
-#include "systems/query_sender.hpp"
+#include "systems/queries/query_sender.hpp"
 #include "tables/due_queue.hpp"
 
 namespace cranberrywood {
--- a/src/systems/query_sender.cpp
+++ b/src/systems/queries/query_sender.cpp
@@ -1,4 +1,4 @@
-#include "systems/query_sender.hpp"
+#include "systems/queries/query_sender.hpp"
 
 #include <algorithm>
 
--- a/src/systems/query_sender.hpp
+++ b/src/systems/queries/query_sender.hpp
@@ -1,12 +1,12 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_QUERY_SENDER_HPP
-#define CRANBERRYWOOD_SYSTEMS_QUERY_SENDER_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_QUERY_SENDER_HPP
+#define CRANBERRYWOOD_SYSTEMS_QUERIES_QUERY_SENDER_HPP
 
 #include "core/node_identity.hpp"
 #include "core/outbox.hpp"
-#include "systems/extra_budget.hpp"
-#include "systems/latency_estimate.hpp"
-#include "systems/repeat_gate.hpp"
-#include "systems/shard_router.hpp"
+#include "systems/queries/extra_budget.hpp"
+#include "systems/queries/latency_estimate.hpp"
+#include "systems/queries/repeat_gate.hpp"
+#include "systems/queries/shard_router.hpp"
 
 #include <map>
 
--- a/src/systems/reply_merger.cpp
+++ b/src/systems/queries/reply_merger.cpp
@@ -1,6 +1,6 @@
-#include "systems/reply_merger.hpp"
+#include "systems/queries/reply_merger.hpp"
 
-#include "systems/hit_merge.hpp"
+#include "systems/queries/hit_merge.hpp"
 
 #include <algorithm>
 #include <iterator>
--- a/src/systems/reply_merger.hpp
+++ b/src/systems/queries/reply_merger.hpp
@@ -1,8 +1,8 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_REPLY_MERGER_HPP
-#define CRANBERRYWOOD_SYSTEMS_REPLY_MERGER_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_REPLY_MERGER_HPP
+#define CRANBERRYWOOD_SYSTEMS_QUERIES_REPLY_MERGER_HPP
 
 #include "core/outbox.hpp"
-#include "systems/request_at_death.hpp"
+#include "systems/queries/request_at_death.hpp"
 
 #include <map>
 #include <memory>
--- a/src/systems/request_check.cpp
+++ b/src/systems/queries/request_check.cpp
@@ -1,6 +1,6 @@
-#include "systems/request_check.hpp"
+#include "systems/queries/request_check.hpp"
 
-#include "systems/key_check.hpp"
+#include "systems/settings/key_check.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/request_check.hpp
+++ b/src/systems/queries/request_check.hpp
@@ -1,9 +1,9 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_REQUEST_CHECK_HPP
-#define CRANBERRYWOOD_SYSTEMS_REQUEST_CHECK_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_REQUEST_CHECK_HPP
+#define CRANBERRYWOOD_SYSTEMS_QUERIES_REQUEST_CHECK_HPP
 
 #include "core/admitted_request.hpp"
 #include "core/events.hpp"
-#include "systems/rights_check.hpp"
+#include "systems/settings/rights_check.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/service_levels.hpp
+++ b/src/systems/queries/service_levels.hpp
@@ -1,9 +1,9 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_SERVICE_LEVELS_HPP
-#define CRANBERRYWOOD_SYSTEMS_SERVICE_LEVELS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_SERVICE_LEVELS_HPP
+#define CRANBERRYWOOD_SYSTEMS_QUERIES_SERVICE_LEVELS_HPP
 
 #include "core/results.hpp"
 #include "settings/settings.hpp"
-#include "systems/level_report.hpp"
+#include "systems/queries/level_report.hpp"
 
 #include <deque>
 #include <map>
--- a/src/systems/shard_router.cpp
+++ b/src/systems/queries/shard_router.cpp
@@ -1,4 +1,4 @@
-#include "systems/shard_router.hpp"
+#include "systems/queries/shard_router.hpp"
 
 #include <algorithm>
 
--- a/src/systems/shard_router.hpp
+++ b/src/systems/queries/shard_router.hpp
@@ -1,11 +1,11 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_SHARD_ROUTER_HPP
-#define CRANBERRYWOOD_SYSTEMS_SHARD_ROUTER_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_SHARD_ROUTER_HPP
+#define CRANBERRYWOOD_SYSTEMS_QUERIES_SHARD_ROUTER_HPP
 
 #include "core/random_source.hpp"
 #include "core/role_view.hpp"
-#include "systems/replica_choice.hpp"
-#include "systems/rights_check.hpp"
-#include "systems/version_pins.hpp"
+#include "systems/queries/version_pins.hpp"
+#include "systems/servers/replica_choice.hpp"
+#include "systems/settings/rights_check.hpp"
 #include "tables/query_table.hpp"
 
 namespace cranberrywood {
--- a/src/systems/version_pins.cpp
+++ b/src/systems/queries/version_pins.cpp
@@ -1,4 +1,4 @@
-#include "systems/version_pins.hpp"
+#include "systems/queries/version_pins.hpp"
 
 #include <algorithm>
 
--- a/src/systems/queries/waiting_calls.hpp
+++ b/src/systems/queries/waiting_calls.hpp
@@ -1,8 +1,8 @@
 #ifndef CRANBERRYWOOD_SYSTEMS_QUERIES_WAITING_CALLS_HPP
 #define CRANBERRYWOOD_SYSTEMS_QUERIES_WAITING_CALLS_HPP
 
-#include "systems/demand_estimate.hpp"
-#include "systems/fair_queue.hpp"
+#include "systems/queries/fair_queue.hpp"
+#include "systems/rates/demand_estimate.hpp"
 #include "tables/open_request.hpp"
 
 #include <map>
--- a/src/systems/demand_estimate.cpp
+++ b/src/systems/rates/demand_estimate.cpp
@@ -1,4 +1,4 @@
-#include "systems/demand_estimate.hpp"
+#include "systems/rates/demand_estimate.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/max_min.cpp
+++ b/src/systems/rates/max_min.cpp
@@ -1,4 +1,4 @@
-#include "systems/max_min.hpp"
+#include "systems/rates/max_min.hpp"
 
 #include <algorithm>
 
--- a/src/systems/rate_borrower.cpp
+++ b/src/systems/rates/rate_borrower.cpp
@@ -1,4 +1,4 @@
-#include "systems/rate_borrower.hpp"
+#include "systems/rates/rate_borrower.hpp"
 
 #include <algorithm>
 
--- a/src/systems/rate_borrower.hpp
+++ b/src/systems/rates/rate_borrower.hpp
@@ -1,10 +1,10 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_RATE_BORROWER_HPP
-#define CRANBERRYWOOD_SYSTEMS_RATE_BORROWER_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_RATES_RATE_BORROWER_HPP
+#define CRANBERRYWOOD_SYSTEMS_RATES_RATE_BORROWER_HPP
 
 #include "core/outbox.hpp"
 #include "core/role_view.hpp"
-#include "systems/demand_estimate.hpp"
-#include "systems/token_bucket.hpp"
+#include "systems/rates/demand_estimate.hpp"
+#include "systems/rates/token_bucket.hpp"
 
 #include <deque>
 #include <map>
--- a/src/systems/rate_home.cpp
+++ b/src/systems/rates/rate_home.cpp
@@ -1,6 +1,6 @@
-#include "systems/rate_home.hpp"
+#include "systems/rates/rate_home.hpp"
 
-#include "systems/max_min.hpp"
+#include "systems/rates/max_min.hpp"
 
 #include <algorithm>
 
--- a/src/systems/rate_home.hpp
+++ b/src/systems/rates/rate_home.hpp
@@ -1,9 +1,9 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_RATE_HOME_HPP
-#define CRANBERRYWOOD_SYSTEMS_RATE_HOME_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_RATES_RATE_HOME_HPP
+#define CRANBERRYWOOD_SYSTEMS_RATES_RATE_HOME_HPP
 
 #include "core/outbox.hpp"
 #include "core/role_view.hpp"
-#include "systems/token_bucket.hpp"
+#include "systems/rates/token_bucket.hpp"
 
 #include <map>
 #include <memory>
--- a/src/systems/rates/rate_slices.hpp
+++ b/src/systems/rates/rate_slices.hpp
@@ -2,9 +2,9 @@
 #define CRANBERRYWOOD_SYSTEMS_RATES_RATE_SLICES_HPP
 
 #include "core/gateway_datagram.hpp"
-#include "systems/demand_estimate.hpp"
 #include "systems/members/member_directory.hpp"
-#include "systems/token_bucket.hpp"
+#include "systems/rates/demand_estimate.hpp"
+#include "systems/rates/token_bucket.hpp"
 #include "tables/catalogue.hpp"
 
 #include <map>
--- a/src/systems/token_bucket.cpp
+++ b/src/systems/rates/token_bucket.cpp
@@ -1,4 +1,4 @@
-#include "systems/token_bucket.hpp"
+#include "systems/rates/token_bucket.hpp"
 
 #include <algorithm>
 #include <cassert>
--- a/src/systems/owned_server.hpp
+++ b/src/systems/servers/owned_server.hpp
@@ -1,10 +1,10 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_OWNED_SERVER_HPP
-#define CRANBERRYWOOD_SYSTEMS_OWNED_SERVER_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_SERVERS_OWNED_SERVER_HPP
+#define CRANBERRYWOOD_SYSTEMS_SERVERS_OWNED_SERVER_HPP
 
-#include "systems/fair_queue.hpp"
-#include "systems/reply_merger.hpp"
-#include "systems/request_at_death.hpp"
-#include "systems/server_window.hpp"
+#include "systems/queries/fair_queue.hpp"
+#include "systems/queries/reply_merger.hpp"
+#include "systems/queries/request_at_death.hpp"
+#include "systems/servers/server_window.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/owner_dispatch.cpp
+++ b/src/systems/servers/owner_dispatch.cpp
@@ -1,4 +1,4 @@
-#include "systems/owner_dispatch.hpp"
+#include "systems/servers/owner_dispatch.hpp"
 
 #include <algorithm>
 
--- a/src/systems/owner_dispatch.hpp
+++ b/src/systems/servers/owner_dispatch.hpp
@@ -1,8 +1,8 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_OWNER_DISPATCH_HPP
-#define CRANBERRYWOOD_SYSTEMS_OWNER_DISPATCH_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_SERVERS_OWNER_DISPATCH_HPP
+#define CRANBERRYWOOD_SYSTEMS_SERVERS_OWNER_DISPATCH_HPP
 
-#include "systems/owner_links.hpp"
-#include "systems/seen_ids.hpp"
+#include "systems/lookups/seen_ids.hpp"
+#include "systems/servers/owner_links.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/owner_links.cpp
+++ b/src/systems/servers/owner_links.cpp
@@ -1,4 +1,4 @@
-#include "systems/owner_links.hpp"
+#include "systems/servers/owner_links.hpp"
 
 #include <algorithm>
 
--- a/src/systems/owner_links.hpp
+++ b/src/systems/servers/owner_links.hpp
@@ -1,9 +1,9 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_OWNER_LINKS_HPP
-#define CRANBERRYWOOD_SYSTEMS_OWNER_LINKS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_SERVERS_OWNER_LINKS_HPP
+#define CRANBERRYWOOD_SYSTEMS_SERVERS_OWNER_LINKS_HPP
 
 #include "core/events.hpp"
 #include "core/random_source.hpp"
-#include "systems/owner_sends.hpp"
+#include "systems/servers/owner_sends.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/owner_sends.cpp
+++ b/src/systems/servers/owner_sends.cpp
@@ -1,4 +1,4 @@
-#include "systems/owner_sends.hpp"
+#include "systems/servers/owner_sends.hpp"
 
 #include <algorithm>
 
--- a/src/systems/owner_sends.hpp
+++ b/src/systems/servers/owner_sends.hpp
@@ -1,8 +1,8 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_OWNER_SENDS_HPP
-#define CRANBERRYWOOD_SYSTEMS_OWNER_SENDS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_SERVERS_OWNER_SENDS_HPP
+#define CRANBERRYWOOD_SYSTEMS_SERVERS_OWNER_SENDS_HPP
 
 #include "core/role_view.hpp"
-#include "systems/owned_server.hpp"
+#include "systems/servers/owned_server.hpp"
 
 #include <optional>
 
--- a/src/systems/replica_choice.cpp
+++ b/src/systems/servers/replica_choice.cpp
@@ -1,4 +1,4 @@
-#include "systems/replica_choice.hpp"
+#include "systems/servers/replica_choice.hpp"
 
 #include <algorithm>
 
--- a/src/systems/server_window.cpp
+++ b/src/systems/servers/server_window.cpp
@@ -1,4 +1,4 @@
-#include "systems/server_window.hpp"
+#include "systems/servers/server_window.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/systems/configuration_watch.cpp
+++ b/src/systems/settings/configuration_watch.cpp
@@ -1,4 +1,4 @@
-#include "systems/configuration_watch.hpp"
+#include "systems/settings/configuration_watch.hpp"
 
 #include <algorithm>
 
--- a/src/systems/current_rights.cpp
+++ b/src/systems/settings/current_rights.cpp
@@ -1,7 +1,7 @@
-#include "systems/current_rights.hpp"
+#include "systems/settings/current_rights.hpp"
 
-#include "systems/key_check.hpp"
-#include "systems/legal_rules.hpp"
+#include "systems/settings/key_check.hpp"
+#include "systems/settings/legal_rules.hpp"
 
 #include <algorithm>
 
--- a/src/systems/current_rights.hpp
+++ b/src/systems/settings/current_rights.hpp
@@ -1,9 +1,9 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_CURRENT_RIGHTS_HPP
-#define CRANBERRYWOOD_SYSTEMS_CURRENT_RIGHTS_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_SETTINGS_CURRENT_RIGHTS_HPP
+#define CRANBERRYWOOD_SYSTEMS_SETTINGS_CURRENT_RIGHTS_HPP
 
-#include "systems/owner_dispatch.hpp"
-#include "systems/quarantine.hpp"
-#include "systems/rights_check.hpp"
+#include "systems/queries/quarantine.hpp"
+#include "systems/servers/owner_dispatch.hpp"
+#include "systems/settings/rights_check.hpp"
 
 namespace cranberrywood {
 
--- a/src/systems/key_check.cpp
+++ b/src/systems/settings/key_check.cpp
@@ -1,4 +1,4 @@
-#include "systems/key_check.hpp"
+#include "systems/settings/key_check.hpp"
 
 #include <sodium.h>
 
--- a/src/systems/reader_choice.cpp
+++ b/src/systems/settings/reader_choice.cpp
@@ -1,4 +1,4 @@
-#include "systems/reader_choice.hpp"
+#include "systems/settings/reader_choice.hpp"
 
 #include <algorithm>
 #include <unordered_set>
--- a/src/systems/revision_delta.cpp
+++ b/src/systems/settings/revision_delta.cpp
@@ -1,4 +1,4 @@
-#include "systems/revision_delta.hpp"
+#include "systems/settings/revision_delta.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/systems/revision_history.cpp
+++ b/src/systems/settings/revision_history.cpp
@@ -1,8 +1,8 @@
-#include "systems/revision_history.hpp"
+#include "systems/settings/revision_history.hpp"
 
 #include "settings/settings_reader.hpp"
-#include "systems/revision_delta.hpp"
-#include "systems/revision_text.hpp"
+#include "systems/settings/revision_delta.hpp"
+#include "systems/settings/revision_text.hpp"
 
 #include <algorithm>
 
--- a/src/systems/revision_pulls.cpp
+++ b/src/systems/settings/revision_pulls.cpp
@@ -1,4 +1,4 @@
-#include "systems/revision_pulls.hpp"
+#include "systems/settings/revision_pulls.hpp"
 
 #include <algorithm>
 
--- a/src/systems/revision_text.cpp
+++ b/src/systems/settings/revision_text.cpp
@@ -1,4 +1,4 @@
-#include "systems/revision_text.hpp"
+#include "systems/settings/revision_text.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/systems/settings_spread.cpp
+++ b/src/systems/settings/settings_spread.cpp
@@ -1,7 +1,7 @@
-#include "systems/settings_spread.hpp"
+#include "systems/settings/settings_spread.hpp"
 
-#include "systems/reader_choice.hpp"
-#include "systems/revision_text.hpp"
+#include "systems/settings/reader_choice.hpp"
+#include "systems/settings/revision_text.hpp"
 
 #include <algorithm>
 
--- a/src/systems/settings_spread.hpp
+++ b/src/systems/settings/settings_spread.hpp
@@ -1,12 +1,12 @@
-#ifndef CRANBERRYWOOD_SYSTEMS_SETTINGS_SPREAD_HPP
-#define CRANBERRYWOOD_SYSTEMS_SETTINGS_SPREAD_HPP
+#ifndef CRANBERRYWOOD_SYSTEMS_SETTINGS_SETTINGS_SPREAD_HPP
+#define CRANBERRYWOOD_SYSTEMS_SETTINGS_SETTINGS_SPREAD_HPP
 
 #include "core/events.hpp"
 #include "core/node_identity.hpp"
 #include "settings/settings_reader.hpp"
-#include "systems/configuration_watch.hpp"
-#include "systems/revision_history.hpp"
-#include "systems/revision_pulls.hpp"
+#include "systems/settings/configuration_watch.hpp"
+#include "systems/settings/revision_history.hpp"
+#include "systems/settings/revision_pulls.hpp"
 
 #include <set>
 
--- a/src/tables/id_record_table.hpp
+++ b/src/tables/id_record_table.hpp
@@ -2,7 +2,7 @@
 #define CRANBERRYWOOD_TABLES_ID_RECORD_TABLE_HPP
 
 #include "core/messages.hpp"
-#include "systems/replica_picker.hpp"
+#include "systems/servers/replica_picker.hpp"
 
 #include <set>
 #include <unordered_map>
--- a/src/tests/bench/entry_cost.cpp
+++ b/src/tests/bench/entry_cost.cpp
@@ -1,6 +1,6 @@
 #include "fakes/manual_role_view.hpp"
 #include "fakes/sample_settings.hpp"
-#include "systems/query_coordinator.hpp"
+#include "systems/queries/query_coordinator.hpp"
 #include "wire/peer_codec.hpp"
 
 #include <chrono>
--- a/src/tests/bench/lease_cost.cpp
+++ b/src/tests/bench/lease_cost.cpp
@@ -1,7 +1,7 @@
 #include "core/random_source.hpp"
 #include "fakes/sample_settings.hpp"
-#include "systems/heartbeats.hpp"
-#include "systems/role_leases.hpp"
+#include "systems/members/heartbeats.hpp"
+#include "systems/members/role_leases.hpp"
 
 #include <chrono>
 #include <cstdio>
--- a/src/tests/bench/model_entry.hpp
+++ b/src/tests/bench/model_entry.hpp
@@ -2,9 +2,9 @@
 #define CRANBERRYWOOD_TESTS_BENCH_MODEL_ENTRY_HPP
 
 #include "bench/timeline.hpp"
-#include "systems/extra_budget.hpp"
-#include "systems/latency_estimate.hpp"
-#include "systems/replica_choice.hpp"
+#include "systems/queries/extra_budget.hpp"
+#include "systems/queries/latency_estimate.hpp"
+#include "systems/servers/replica_choice.hpp"
 
 #include <map>
 
--- a/src/tests/bench/model_fleet.hpp
+++ b/src/tests/bench/model_fleet.hpp
@@ -4,7 +4,7 @@
 #include "bench/model_entry.hpp"
 #include "bench/model_server.hpp"
 #include "fakes/manual_role_view.hpp"
-#include "systems/owner_dispatch.hpp"
+#include "systems/servers/owner_dispatch.hpp"
 
 namespace cranberrywood::bench {
 
--- a/src/tests/bench/owner_cost.cpp
+++ b/src/tests/bench/owner_cost.cpp
@@ -1,6 +1,6 @@
 #include "fakes/manual_role_view.hpp"
 #include "fakes/sample_settings.hpp"
-#include "systems/owner_dispatch.hpp"
+#include "systems/servers/owner_dispatch.hpp"
 
 #include <chrono>
 #include <cstdio>
--- a/src/tests/bench/role_cost.cpp
+++ b/src/tests/bench/role_cost.cpp
@@ -1,8 +1,8 @@
 #include "fakes/manual_replica_picker.hpp"
 #include "fakes/manual_role_view.hpp"
 #include "fakes/sample_settings.hpp"
-#include "systems/id_records.hpp"
-#include "systems/rate_home.hpp"
+#include "systems/lookups/id_records.hpp"
+#include "systems/rates/rate_home.hpp"
 #include "wire/peer_codec.hpp"
 
 #include <cstdio>
--- a/src/tests/bench/spread_cost.cpp
+++ b/src/tests/bench/spread_cost.cpp
@@ -3,8 +3,8 @@
 
 #include "core/random_source.hpp"
 #include "settings/settings_reader.hpp"
-#include "systems/revision_delta.hpp"
-#include "systems/revision_text.hpp"
+#include "systems/settings/revision_delta.hpp"
+#include "systems/settings/revision_text.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/src/tests/fair_queue_test.cpp
+++ b/src/tests/fair_queue_test.cpp
@@ -1,6 +1,6 @@
 #include <rapidcheck.h>
 
-#include "systems/fair_queue.hpp"
+#include "systems/queries/fair_queue.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/tests/fakes/lease_cluster.hpp
+++ b/src/tests/fakes/lease_cluster.hpp
@@ -3,9 +3,9 @@
 
 #include "core/random_source.hpp"
 #include "fakes/sample_settings.hpp"
-#include "systems/heartbeats.hpp"
-#include "systems/peer_sessions.hpp"
-#include "systems/role_leases.hpp"
+#include "systems/members/heartbeats.hpp"
+#include "systems/members/peer_sessions.hpp"
+#include "systems/members/role_leases.hpp"
 
 #include <functional>
 #include <map>
--- a/src/tests/fakes/lookup_run.hpp
+++ b/src/tests/fakes/lookup_run.hpp
@@ -5,8 +5,8 @@
 #include "fakes/manual_replica_picker.hpp"
 #include "fakes/manual_role_view.hpp"
 #include "fakes/sample_settings.hpp"
-#include "systems/id_records.hpp"
-#include "systems/lookup_client.hpp"
+#include "systems/lookups/id_records.hpp"
+#include "systems/lookups/lookup_client.hpp"
 
 #include <array>
 #include <map>
--- a/src/tests/fakes/manual_replica_picker.hpp
+++ b/src/tests/fakes/manual_replica_picker.hpp
@@ -1,7 +1,7 @@
 #ifndef CRANBERRYWOOD_TESTS_FAKES_MANUAL_REPLICA_PICKER_HPP
 #define CRANBERRYWOOD_TESTS_FAKES_MANUAL_REPLICA_PICKER_HPP
 
-#include "systems/replica_picker.hpp"
+#include "systems/servers/replica_picker.hpp"
 
 #include <algorithm>
 
--- a/src/tests/fakes/rate_fleet.hpp
+++ b/src/tests/fakes/rate_fleet.hpp
@@ -3,8 +3,8 @@
 
 #include "core/random_source.hpp"
 #include "fakes/manual_role_view.hpp"
-#include "systems/rate_borrower.hpp"
-#include "systems/rate_home.hpp"
+#include "systems/rates/rate_borrower.hpp"
+#include "systems/rates/rate_home.hpp"
 
 #include <memory>
 #include <vector>
--- a/src/tests/fakes/sample_settings.cpp
+++ b/src/tests/fakes/sample_settings.cpp
@@ -1,6 +1,6 @@
 #include "fakes/sample_settings.hpp"
 
-#include "systems/key_check.hpp"
+#include "systems/settings/key_check.hpp"
 
 namespace cranberrywood::fakes {
 
--- a/src/tests/fakes/static_shares.hpp
+++ b/src/tests/fakes/static_shares.hpp
@@ -1,7 +1,7 @@
 #ifndef CRANBERRYWOOD_TESTS_FAKES_STATIC_SHARES_HPP
 #define CRANBERRYWOOD_TESTS_FAKES_STATIC_SHARES_HPP
 
-#include "systems/rate_borrower.hpp"
+#include "systems/rates/rate_borrower.hpp"
 
 #include <deque>
 #include <map>
--- a/src/tests/heartbeats_test.cpp
+++ b/src/tests/heartbeats_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/heartbeats.hpp"
+#include "systems/members/heartbeats.hpp"
 
 #include "fakes/sample_settings.hpp"
 
--- a/src/tests/id_records_test.cpp
+++ b/src/tests/id_records_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/id_records.hpp"
+#include "systems/lookups/id_records.hpp"
 
 #include "fakes/manual_replica_picker.hpp"
 #include "fakes/manual_role_view.hpp"
--- a/src/tests/latency_estimate_test.cpp
+++ b/src/tests/latency_estimate_test.cpp
@@ -1,6 +1,6 @@
 #include <rapidcheck.h>
 
-#include "systems/latency_estimate.hpp"
+#include "systems/queries/latency_estimate.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/tests/legal_rules_test.cpp
+++ b/src/tests/legal_rules_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/legal_rules.hpp"
+#include "systems/settings/legal_rules.hpp"
 
 #include "fakes/sample_settings.hpp"
 
--- a/src/tests/lookup_client_test.cpp
+++ b/src/tests/lookup_client_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/lookup_client.hpp"
+#include "systems/lookups/lookup_client.hpp"
 
 #include "fakes/manual_role_view.hpp"
 #include "fakes/sample_settings.hpp"
--- a/src/tests/owner_dispatch_test.cpp
+++ b/src/tests/owner_dispatch_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/owner_dispatch.hpp"
+#include "systems/servers/owner_dispatch.hpp"
 
 #include "fakes/manual_role_view.hpp"
 #include "fakes/sample_settings.hpp"
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/quarantine.hpp"
+#include "systems/queries/quarantine.hpp"
 
 #include "fakes/manual_role_view.hpp"
 #include "fakes/sample_settings.hpp"
--- a/src/tests/rate_borrower_test.cpp
+++ b/src/tests/rate_borrower_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/rate_borrower.hpp"
+#include "systems/rates/rate_borrower.hpp"
 
 #include "fakes/manual_role_view.hpp"
 #include "fakes/sample_settings.hpp"
--- a/src/tests/revision_delta_test.cpp
+++ b/src/tests/revision_delta_test.cpp
@@ -1,6 +1,6 @@
-#include "systems/revision_delta.hpp"
+#include "systems/settings/revision_delta.hpp"
 
-#include "systems/revision_text.hpp"
+#include "systems/settings/revision_text.hpp"
 
 #include <rapidcheck.h>
 
--- a/src/tests/role_map_test.cpp
+++ b/src/tests/role_map_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/role_map.hpp"
+#include "systems/members/role_map.hpp"
 
 #include "fakes/sample_settings.hpp"
 
--- a/src/tests/service_levels_test.cpp
+++ b/src/tests/service_levels_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/service_levels.hpp"
+#include "systems/queries/service_levels.hpp"
 
 #include "fakes/sample_settings.hpp"
 
--- a/src/tests/settings_spread_test.cpp
+++ b/src/tests/settings_spread_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/settings_spread.hpp"
+#include "systems/settings/settings_spread.hpp"
 
 #include "fakes/sample_value.hpp"
 
