--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -19,6 +19,8 @@
 constexpr duration balancer_lag = 2600ms;
 /** Time before the process is killed at which it ends by itself. */
 constexpr duration stop_margin = 300ms;
+/** Time after which a VM is ready though it found no other. */
+constexpr duration longest_unready = 4s;
 constexpr const char* ready_path = "/ready";
 
 /** Contact with the store after which lapsed entries have returned. */
@@ -42,7 +44,8 @@
                                  const platform_adapter& adapter,
                                  event_log& log)
     : m_file(std::move(file)), m_adapter(adapter), m_log(log),
-      m_io(1), m_loop{m_io, m_clock}, m_random(process_seed()),
+      m_io(1), m_loop{m_io, m_clock}, m_started(m_clock.now()),
+      m_random(process_seed()),
       m_gateway(m_file.decisions, m_random, m_clock.now()),
       m_mirror(incarnation(m_random.next() | 1U)),
       m_readers(m_gateway.members()), m_front(m_loop, *this),
@@ -382,7 +385,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            m_log.write(log_code::settings_reloaded, "changed=nothing");
+            m_log.write(log_code::settings_reloaded, "read=at_next_start");
         } else {
             begin_stop();
         }
@@ -406,8 +409,12 @@
 
 bool gateway_process::ready() const
 {
-    return !m_stopping_since && m_gateway.settings() != nullptr &&
-           m_gateway.server_count() > 0;
+    // A VM that does not know the fleet has no tokens for keyed requests.
+    const time_point now = m_clock.now();
+    const bool knows_fleet =
+        m_gateway.members().settled(now) || now - m_started >= longest_unready;
+    return !m_stopping_since && knows_fleet &&
+           m_gateway.settings() != nullptr && m_gateway.server_count() > 0;
 }
 
 } // namespace cranberrywood
