answers: a backend's own 503, 429 or 408 is never passed on as if nothing had run

Cause (read-through): for repeatable requests an answer that the server had run, with a receipt and one of the statuses that promise "not run", was relayed, and the table of gateway_test expected that.

--- a/src/systems/queries/request_answer.cpp
+++ b/src/systems/queries/request_answer.cpp
@@ -42,9 +42,10 @@
 
 gateway_answer forwarded(const open_request& request, const service_call& call)
 {
-    // Without a receipt it is not known whose answer it is.
+    // Without a receipt it is not known whose answer it is; and a status that
+    // promises that nothing has run is not true of an answer with one.
     if (!call.answer || call.answer->receipt.empty() ||
-        (promises_not_run(call.answer->status) && !request.terms->repeatable)) {
+        promises_not_run(call.answer->status)) {
         return failure(request, failure_reason::backend_failed);
     }
     if (!may_have_run(request)) {
