--- /dev/null
+++ b/src/core/request_log.cpp
@@ -0,0 +1,62 @@
+#include "core/request_log.hpp"
+
+namespace cranberrywood {
+
+std::string milliseconds_text(duration d)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
+std::string describe(const open_request& request, time_point now)
+{
+    std::uint32_t answered = 0;
+    std::uint32_t waiting = 0;
+    std::size_t sends = 0;
+    for (const service_call& call : request.calls) {
+        answered += call.state == call_state::answered ? 1 : 0;
+        waiting += call.state == call_state::waiting ? 1 : 0;
+        sends += call.sends.size();
+    }
+    return "request=" + request.outbound->id + " route=" + request.terms->name +
+           " age_ms=" + milliseconds_text(now - request.arrived) +
+           " calls=" + std::to_string(request.calls.size()) +
+           " answered=" + std::to_string(answered) +
+           " waiting=" + std::to_string(waiting) +
+           " sends=" + std::to_string(sends);
+}
+
+bool is_worth_a_line(const gateway_answer& answer)
+{
+    const auto* gathered = std::get_if<gathered_answer>(&answer);
+    const auto* relayed = std::get_if<relayed_answer>(&answer);
+    constexpr unsigned first_failure = 500;
+    return (gathered == nullptr || gathered->missing > 0) &&
+           (relayed == nullptr || relayed->message->status >= first_failure);
+}
+
+std::string outcome_of(const gateway_answer& answer)
+{
+    struct visitor
+    {
+        std::string operator()(const relayed_answer& a) const
+        {
+            return "relayed_" + std::to_string(a.message->status);
+        }
+        std::string operator()(const gathered_answer& a) const
+        {
+            return "missing_" + std::to_string(a.missing);
+        }
+        std::string operator()(const refused_answer& a) const
+        {
+            return name_of(a.why);
+        }
+        std::string operator()(const failed_answer& a) const
+        {
+            return name_of(a.why);
+        }
+    };
+    return std::visit(visitor{}, answer);
+}
+
+} // namespace cranberrywood
--- /dev/null
+++ b/src/tests/request_log_test.cpp
@@ -0,0 +1,63 @@
+#include "core/request_log.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cranberrywood;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct outcome_row
+{
+    gateway_answer answer;
+    bool line;
+    const char* outcome;
+};
+
+relayed_answer relayed(unsigned status)
+{
+    return {"receipt", std::make_shared<const relayed_message>(
+                           relayed_message{status, "", ""})};
+}
+
+} // namespace
+
+TEST_GROUP(request_log){};
+
+TEST(request_log, whole_answers_need_no_line)
+{
+    const outcome_row table[] = {
+        {relayed(200), false, "relayed_200"},
+        {relayed(404), false, "relayed_404"},
+        {relayed(500), true, "relayed_500"},
+        {gathered_answer{{"r"}, 0, ""}, false, "missing_0"},
+        {gathered_answer{{"r"}, 2, ""}, true, "missing_2"},
+        {refused_answer{refusal_reason::no_server, 1s}, true, "no_server"},
+        {failed_answer{failure_reason::timed_out}, true, "timed_out"},
+    };
+    for (const outcome_row& row : table) {
+        CHECK(is_worth_a_line(row.answer) == row.line);
+        STRCMP_EQUAL(row.outcome, outcome_of(row.answer).c_str());
+    }
+}
+
+TEST(request_log, a_line_says_how_far_a_request_has_come)
+{
+    const time_point start{1h};
+    open_request request;
+    auto outbound = std::make_shared<outbound_request>();
+    outbound->id = "9c41";
+    request.outbound = outbound;
+    auto terms = std::make_shared<route>();
+    terms->name = "search";
+    request.terms = terms;
+    request.arrived = start;
+    request.calls.resize(3);
+    request.calls[0].state = call_state::answered;
+    request.calls[0].sends.resize(2);
+    request.calls[1].state = call_state::sent;
+    request.calls[1].sends.resize(1);
+    STRCMP_EQUAL("request=9c41 route=search age_ms=92 calls=3 answered=1 "
+                 "waiting=1 sends=3",
+                 describe(request, start + 92ms).c_str());
+}
