Settings of a VM take every bound that a deployment may state

Cause: a small deployment states an allowance of extra sends of 0 or a fraction. A share above 1 and a stop time in fractions of a second were refused in the same way.

--- a/src/core/gateway_settings.hpp
+++ b/src/core/gateway_settings.hpp
@@ -16,7 +16,9 @@
     /** Limit on a service's extra sends, in percent of its requests. */
     std::uint32_t extra_send_percent = 20;
     /** Fixed allowance of extra sends per service in addition, over all VMs. */
-    std::uint32_t extra_send_allowance = 50;
+    double extra_send_allowance = 50.0;
+    /** The fleet starts for the first time. */
+    bool first_start = false;
     member_identity member;
 };
 
--- a/src/loop/gateway_file.cpp
+++ b/src/loop/gateway_file.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr std::uint32_t max_stop_seconds = 3600;
-constexpr std::uint32_t max_extra_sends = 1000000;
+constexpr double max_stop_seconds = 3600;
+constexpr double max_extra_sends = 1000000;
+constexpr double max_extra_send_share = 10;
 constexpr double percent = 100.0;
 
 /** Reads the first of the ports of a comma-separated range. */
@@ -31,28 +32,37 @@
     return {};
 }
 
-/** Reads a share between 0 and 1 as a whole percentage. */
+/** Reads a share of the first sends as a whole percentage. */
 std::string take_share(const std::string& value, std::uint32_t& to)
 {
-    std::istringstream text(value);
-    double share = -1.0;
-    if (!(text >> share) || !text.eof() || share < 0.0 || share > 1.0) {
-        return "must be a share from 0 to 1";
+    double share = 0.0;
+    auto error = take_decimal(value, max_extra_send_share, share);
+    if (error.empty()) {
+        to = static_cast<std::uint32_t>(std::floor(share * percent + 1e-9));
     }
-    to = static_cast<std::uint32_t>(std::floor(share * percent + 1e-9));
-    return {};
+    return error;
 }
 
 std::string take_seconds(const std::string& value, duration& to)
 {
-    std::uint32_t seconds = 0;
-    auto error = take_number(value, max_stop_seconds, seconds);
+    double seconds = 0.0;
+    auto error = take_decimal(value, max_stop_seconds, seconds);
     if (error.empty()) {
-        to = std::chrono::seconds(seconds);
+        to = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(seconds));
     }
     return error;
 }
 
+std::string take_flag(const std::string& value, bool& to)
+{
+    if (value != "true" && value != "false") {
+        return "must be true or false";
+    }
+    to = value == "true";
+    return {};
+}
+
 process_file_keys keys_of(gateway_file& f)
 {
     process_file_keys keys;
@@ -78,9 +88,11 @@
          }},
         {"extra_sends.saved",
          [&](auto& v) {
-             return take_number(v, max_extra_sends,
-                                f.decisions.extra_send_allowance);
+             return take_decimal(v, max_extra_sends,
+                                 f.decisions.extra_send_allowance);
          }},
+        {"extra_sends.first_start",
+         [&](auto& v) { return take_flag(v, f.decisions.first_start); }},
         {"stop.within_s",
          [&](auto& v) { return take_seconds(v, f.stop_within); }},
     };
--- a/src/settings/process_file.cpp
+++ b/src/settings/process_file.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <ini.h>
 #include <set>
+#include <sstream>
 
 namespace cranberrywood {
 
@@ -132,6 +133,21 @@
     return pass.finish();
 }
 
+std::string take_decimal(const std::string& value, double limit, double& to)
+{
+    std::istringstream text(value);
+    double read = -1.0;
+    const bool number = (text >> read) && text.eof();
+    // The comparison is false for a value that is not a number.
+    if (!number || !(read >= 0.0 && read <= limit)) {
+        std::ostringstream error;
+        error << "must be a number from 0 to " << limit;
+        return error.str();
+    }
+    to = read;
+    return {};
+}
+
 std::string take_host(const std::string& value, std::string& to)
 {
     if (!is_ip_number(value)) {
--- a/src/settings/process_file.hpp
+++ b/src/settings/process_file.hpp
@@ -53,6 +53,12 @@
     return {};
 }
 
+/**
+ * Reads a decimal number in [0, limit]; returns the error, else nothing. A
+ * deployment may state fractions and zero.
+ */
+std::string take_decimal(const std::string& value, double limit, double& to);
+
 std::string take_host(const std::string& value, std::string& to);
 std::string take_name(const std::string& value, std::string& to);
 std::string take_endpoint(const std::string& value, endpoint& to);
