Extra sends of large fleets are usable, answers leave in time for far callers

The late ones waited for calls without a hedge: each VM's budget for a shard held one send, began empty and earned one in six requests, so the fleet used a tenth of what the operators allow; a hedge that found no budget was not tried again. Change: a budget holds 0.8 of the VM's part of the allowance, starts with 0.2 of it (with 0.8 at the first start of the fleet) and earns the share of the requests; the sum stays within the limit of a window also when all processes restart in it. A hedge without budget is tried again after 12 ms, a late hedge is hedged up to the route's sends. The time that a request and its answer take to the caller is the kernel's round-trip estimate, twice for the first request of a connection. Ruled out: processor time (0.0039 of 0.12 cores), choice of servers (first answers p99 53 ms). The check of the time at which a thin gather leaves is replaced: it asked for 8 ms whatever the caller's distance, now 4 ms and the network's time.

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -10,16 +10,6 @@
 
 /** Time for which an abandoned exchange may still finish. */
 constexpr duration abandoned_timeout = 300ms;
-/** Share of the allowed extra sends that is used, in percent. */
-constexpr std::uint32_t extra_use_percent = 85;
-/**
- * Parts of the fixed allowance of extra sends: available as a burst, and
- * refilled over a window.
- */
-constexpr std::uint32_t burst_percent = 40;
-constexpr std::uint32_t refill_percent = 40;
-/** Window over which extra sends are limited. */
-constexpr duration extra_window = 10s;
 /**
  * Latency quantile of a route after which a send is hedged. Sends slower than
  * this are mostly stuck, so the budget is reserved for them.
@@ -45,7 +35,10 @@
                          server_suspicions& suspicions)
     : m_settings(settings), m_servers(servers), m_choice(choice),
       m_suspicions(suspicions), m_observer(servers),
-      m_vms(settings.member.assumed_vms)
+      m_vms(settings.member.assumed_vms),
+      m_extra_sends({settings.extra_send_percent, settings.extra_send_allowance,
+                     settings.first_start},
+                    settings.member.assumed_vms)
 {
 }
 
@@ -57,15 +50,12 @@
 void call_sender::fleet_changed(std::uint32_t vms)
 {
     m_vms = std::max(1U, vms);
-    for (auto& [service, budget] : m_budgets) {
-        budget.set_capacity(burst_hundredths());
-    }
+    m_extra_sends.fleet_changed(vms);
 }
 
 void call_sender::count_request(service_id service)
 {
-    budget_of(service).first_sends(1, m_settings.extra_send_percent *
-                                          extra_use_percent / 100);
+    m_extra_sends.count_request(service);
 }
 
 send_outcome call_sender::send(open_request& request, std::uint32_t call,
@@ -88,7 +78,7 @@
     if (std::holds_alternative<no_usable_server>(chosen)) {
         return send_outcome::no_usable_server;
     }
-    if (c.may_have_arrived() && !budget_of(c.service).take()) {
+    if (c.may_have_arrived() && !m_extra_sends.take(c.service)) {
         return send_outcome::no_budget;
     }
     const auto server = std::get<backend_server_id>(chosen);
@@ -219,37 +209,4 @@
     return std::max(1U, static_cast<std::uint32_t>(slice));
 }
 
-extra_send_budget& call_sender::budget_of(service_id service)
-{
-    const auto found = m_budgets.find(service);
-    if (found != m_budgets.end()) {
-        return found->second;
-    }
-    return m_budgets
-        .emplace(service, extra_send_budget::with_capacity(burst_hundredths()))
-        .first->second;
-}
-
-std::uint64_t call_sender::burst_hundredths() const
-{
-    return std::uint64_t(m_settings.extra_send_allowance) * burst_percent /
-           m_vms;
-}
-
-void call_sender::refill_budgets(time_point now)
-{
-    const std::uint64_t per_window =
-        std::uint64_t(m_settings.extra_send_allowance) * refill_percent / m_vms;
-    const std::uint64_t due =
-        per_window * static_cast<std::uint64_t>((now - m_refilled_at).count()) /
-        static_cast<std::uint64_t>(extra_window.count());
-    if (due == 0) {
-        return;
-    }
-    m_refilled_at = now;
-    for (auto& [service, budget] : m_budgets) {
-        budget.add_credit(due);
-    }
-}
-
 } // namespace cranberrywood
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -2,7 +2,7 @@
 #define CRANBERRYWOOD_CORE_CALL_SENDER_HPP
 
 #include "core/gateway_settings.hpp"
-#include "systems/queries/extra_send_budget.hpp"
+#include "systems/queries/extra_send_limits.hpp"
 #include "systems/queries/latency_estimate.hpp"
 #include "systems/queries/stragglers.hpp"
 #include "systems/queries/waiting_calls.hpp"
@@ -64,8 +64,6 @@
                       send_purpose purpose, time_point now,
                       gateway_commands& out);
 
-    /** Refills the budgets of extra sends for the elapsed time. */
-    void refill_budgets(time_point now);
     /** Credits the extra-send budget for a call, whether sent or not. */
     void count_request(service_id service);
 
@@ -95,8 +93,6 @@
 
 private:
     std::uint32_t max_in_flight(service_id service) const;
-    extra_send_budget& budget_of(service_id service);
-    std::uint64_t burst_hundredths() const;
     void observe(const exchange_row& row, const exchange_ended& ended,
                  time_point now, gateway_commands& out);
     void observe_failure(const exchange_row& row, const exchange_ended& ended,
@@ -112,9 +108,8 @@
     std::uint32_t m_vms;
     std::unordered_map<exchange_id, exchange_row> m_exchanges;
     due_queue<exchange_id> m_overdue;
-    std::unordered_map<service_id, extra_send_budget> m_budgets;
+    extra_send_limits m_extra_sends;
     std::uint64_t m_last_exchange = 0;
-    time_point m_refilled_at;
 };
 
 } // namespace cranberrywood
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -20,6 +20,8 @@
 constexpr duration token_retry_after = 100ms;
 /** Shortest time between two reviews of a request. */
 constexpr duration min_review_interval = 1ms;
+/** Time after which a hedge that found no server or budget is tried again. */
+constexpr duration hedge_retry_interval = 12ms;
 /** Largest number of sends of one call, including sends proved not run. */
 constexpr std::size_t max_attempts = 4;
 
@@ -65,7 +67,6 @@
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
         m_directory.drop_unlisted(now);
-        m_sender.refill_budgets(now);
         serve_all_waiting(now, out);
     }
     broadcast_suspicions(now, out);
@@ -431,8 +432,12 @@
         m_suspicions.found(server, suspicion_cause::late, now, out);
     }
     for (const std::uint32_t call : calls_to_hedge(request, ages.hedge, now)) {
-        request.calls[call].hedged = true;
+        service_call& c = request.calls[call];
+        const std::size_t sends = c.sends.size();
         start_call(request, call, send_purpose::hedge, now, out);
+        if (c.sends.size() == sends) {
+            c.no_hedge_before = now + hedge_retry_interval;
+        }
     }
 }
 
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -8,8 +8,8 @@
 
 using namespace std::chrono_literals;
 
-/** Time reserved to transfer an answer to the caller. */
-constexpr duration answer_transfer_time = 8ms;
+/** Time reserved to build an answer and to write it. */
+constexpr duration answer_write_time = 4ms;
 /** Bounds of the retry delay given to a refused caller. */
 constexpr duration min_retry_after = 50ms;
 constexpr duration max_retry_after = 2s;
@@ -56,8 +56,9 @@
     request->arrived = asked.arrived;
     request->deadline =
         asked.arrived + std::min(asked.deadline, terms->timeout);
-    request->answer_at =
-        asked.arrived + terms->target_latency - answer_transfer_time;
+    request->answer_at = asked.arrived + terms->target_latency -
+                         std::min(asked.network_time + answer_write_time,
+                                  terms->target_latency / 2);
     if (!terms->open && m_settings->has_workspaces()) {
         const workspace_entry* workspace =
             m_settings->find_workspace(asked.key);
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -43,6 +43,11 @@
     /** Time at which the request was read. */
     time_point arrived;
     std::shared_ptr<const outbound_request> outbound;
+    /**
+     * Time that the request has spent and its answer will spend on the way
+     * between the caller and this VM, connection set-up included.
+     */
+    duration network_time{0};
 };
 
 /** A caller closed its connection before it was answered. */
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -119,7 +119,18 @@
     m_keep_alive = request.keep_alive();
     m_head = request.method() == http::verb::head;
     m_token = m_front.token_for(shared_from_this());
-    m_front.m_handler.request_read(m_token, std::move(request));
+    m_front.m_handler.request_read(m_token, std::move(request), network_time());
+}
+
+// The first request of a connection has waited a round trip for the connection
+// to be set up.
+duration caller_connection::network_time()
+{
+    if (m_round_trip) {
+        return *m_round_trip;
+    }
+    m_round_trip = m_stream->round_trip();
+    return *m_round_trip * 2;
 }
 
 void caller_connection::answer(const http_answer_text& text, bool close,
--- a/src/loop/caller_connection.hpp
+++ b/src/loop/caller_connection.hpp
@@ -4,6 +4,8 @@
 #include "loop/caller_front.hpp"
 #include "loop/stream_socket.hpp"
 
+#include <optional>
+
 namespace cranberrywood {
 
 /** One caller's connection: reads a request, writes its answer, and again. */
@@ -43,6 +45,7 @@
 
     void look(read_state state);
     void request_complete();
+    duration network_time();
     void refuse(read_state state);
     void refuse_slow();
     duration time_for_request() const;
@@ -56,6 +59,8 @@
     front_limits m_limits;
     phase m_phase = phase::reading;
     caller_token m_token;
+    /** Round trip to the caller, read with the first request. */
+    std::optional<duration> m_round_trip;
     bool m_keep_alive = true;
     bool m_head = false;
     bool m_continue_sent = false;
--- a/src/loop/caller_front.hpp
+++ b/src/loop/caller_front.hpp
@@ -30,8 +30,12 @@
 {
 public:
     virtual ~request_handler() = default;
-    /** A whole request was read; it is to be answered by its token. */
-    virtual void request_read(caller_token token, http_request request) = 0;
+    /**
+     * A whole request was read; it is to be answered by its token. The network
+     * time is what the request has spent and its answer will spend on the way.
+     */
+    virtual void request_read(caller_token token, http_request request,
+                              duration network_time) = 0;
     /** The caller of a request that is not answered yet has closed. */
     virtual void caller_closed(caller_token token) = 0;
     /** Bytes were refused that are no proper request. */
--- a/src/loop/control_front.cpp
+++ b/src/loop/control_front.cpp
@@ -88,7 +88,8 @@
     m_front.sweep(now);
 }
 
-void control_front::request_read(caller_token token, http_request request)
+void control_front::request_read(caller_token token, http_request request,
+                                 duration /*network_time*/)
 {
     const std::string target(request.target().data(), request.target().size());
     const std::string path = target.substr(0, target.find('?'));
--- a/src/loop/control_front.hpp
+++ b/src/loop/control_front.hpp
@@ -37,7 +37,8 @@
     void news(std::uint64_t place);
     void sweep(time_point now);
 
-    void request_read(caller_token token, http_request request) override;
+    void request_read(caller_token token, http_request request,
+                      duration network_time) override;
     void caller_closed(caller_token token) override;
     void bytes_refused(unsigned status) override;
 
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -115,7 +115,8 @@
     return true;
 }
 
-void gateway_process::request_read(caller_token token, http_request request)
+void gateway_process::request_read(caller_token token, http_request request,
+                                   duration network_time)
 {
     auto read = m_adapter.read_request(token, std::move(request));
     if (const auto* fault = std::get_if<improper_request>(&read)) {
@@ -128,6 +129,7 @@
     auto& asked = std::get<request_received>(read);
     const time_point now = m_clock.now();
     asked.arrived = now - m_lag.at(now);
+    asked.network_time = network_time;
     handle(std::move(asked));
 }
 
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -36,7 +36,8 @@
     /** Serves until a signal asks to stop; returns the exit status. */
     int run();
 
-    void request_read(caller_token token, http_request request) override;
+    void request_read(caller_token token, http_request request,
+                      duration network_time) override;
     void caller_closed(caller_token token) override;
     void bytes_refused(unsigned status) override;
 
--- a/src/loop/stream_socket.cpp
+++ b/src/loop/stream_socket.cpp
@@ -84,6 +84,15 @@
     m_socket.close(ignored);
 }
 
+duration stream_socket::round_trip()
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const int result = ::getsockopt(m_socket.native_handle(), IPPROTO_TCP,
+                                    TCP_INFO, &info, &size);
+    return result == 0 ? std::chrono::microseconds(info.tcpi_rtt) : duration(0);
+}
+
 void stream_socket::wait_readable()
 {
     if (m_reading || m_paused || m_ended || !m_socket.is_open()) {
--- a/src/loop/stream_socket.hpp
+++ b/src/loop/stream_socket.hpp
@@ -53,6 +53,9 @@
     /** Closes at once and reports nothing more. */
     void close();
 
+    /** Returns the kernel's estimate of the round trip; 0 if unknown. */
+    duration round_trip();
+
     bool is_open() const
     {
         return m_socket.is_open();
--- a/src/systems/queries/extra_send_budget.cpp
+++ b/src/systems/queries/extra_send_budget.cpp
@@ -36,6 +36,11 @@
     m_hundredths = std::min(m_hundredths, *m_fixed_capacity);
 }
 
+void extra_send_budget::rescale(std::uint32_t previous, std::uint32_t now)
+{
+    m_hundredths = m_hundredths * previous / std::max(1U, now);
+}
+
 void extra_send_budget::add_credit(std::uint64_t hundredths)
 {
     m_hundredths += hundredths;
--- a/src/systems/queries/stragglers.cpp
+++ b/src/systems/queries/stragglers.cpp
@@ -13,10 +13,15 @@
 
 bool may_hedge(const open_request& request, const service_call& call)
 {
-    return call.state == call_state::sent && !call.hedged &&
+    return call.state == call_state::sent &&
            call.counted_sends() < request.terms->max_sends;
 }
 
+time_point hedge_time(const service_call& call, duration hedge_age)
+{
+    return std::max(call.sends.back().at + hedge_age, call.no_hedge_before);
+}
+
 } // namespace
 
 std::vector<std::uint32_t> calls_to_hedge(const open_request& request,
@@ -28,7 +33,7 @@
     }
     for (std::uint32_t call = 0; call < request.calls.size(); ++call) {
         const service_call& c = request.calls[call];
-        if (may_hedge(request, c) && now - c.sends.back().at >= hedge_age) {
+        if (may_hedge(request, c) && now >= hedge_time(c, hedge_age)) {
             late.push_back(call);
         }
     }
@@ -61,7 +66,7 @@
     const bool hedges = may_hedge(request);
     for (const service_call& call : request.calls) {
         if (hedges && may_hedge(request, call)) {
-            next = std::min(next, call.sends.back().at + ages.hedge);
+            next = std::min(next, hedge_time(call, ages.hedge));
         }
         for (const call_send& send : call.sends) {
             if (send.open && !send.made_suspect) {
--- a/src/tables/open_request.hpp
+++ b/src/tables/open_request.hpp
@@ -42,7 +42,8 @@
     service_id service;
     call_state state = call_state::waiting;
     std::vector<call_send> sends;
-    bool hedged = false;
+    /** Time before which no hedge is tried; set after one that had to wait. */
+    time_point no_hedge_before;
     /** Answer that the caller gets: a success, or the last failure. */
     std::optional<backend_answer> answer;
 
