--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -58,6 +58,11 @@
     std::vector<token_ask> asks;
     std::vector<token_grant> grants;
     std::vector<server_suspicion> suspicions;
+
+    bool is_heartbeat() const
+    {
+        return asks.empty() && grants.empty() && suspicions.empty();
+    }
 };
 
 } // namespace cranberrywood
--- a/src/core/gateway_peers.cpp
+++ b/src/core/gateway_peers.cpp
@@ -10,9 +10,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration heartbeat_interval = 500ms;
-/** Shorter interval after start, so that the VM discovers the fleet sooner. */
-constexpr duration initial_interval = 150ms;
-constexpr duration initial_period = 2s;
+/** Shorter interval while the VM is discovering the fleet. */
+constexpr duration discovery_interval = 150ms;
 /** Interval at which available tokens are compared with demand. */
 constexpr duration ask_interval = 200ms;
 /**
@@ -26,7 +25,7 @@
 
 gateway_peers::gateway_peers(member_directory& members, incarnation process,
                              rate_slices& rates, time_point now)
-    : m_process(process), m_rates(rates), m_members(members), m_started(now),
+    : m_process(process), m_rates(rates), m_members(members),
       m_next_heartbeat(now), m_next_asks(now + ask_interval),
       m_suspicion_budget(now)
 {
@@ -40,13 +39,15 @@
     for (const token_grant& grant : datagram.grants) {
         m_rates.receive_grant(grant, now);
     }
+    if (m_members.knows_more_than(datagram)) {
+        out.push_back(send_datagram{event.from, heartbeat(now)});
+    }
     gateway_datagram answer;
     for (const token_ask& ask : datagram.asks) {
         answer.grants.push_back(m_rates.lend(ask, now));
     }
     if (!answer.grants.empty()) {
         m_members.fill(answer, now);
-        answer.members.clear();
         answer.process = m_process;
         out.push_back(send_datagram{event.from, std::move(answer)});
     }
@@ -55,9 +56,8 @@
 void gateway_peers::tick(time_point now, gateway_commands& out)
 {
     if (now >= m_next_heartbeat) {
-        m_next_heartbeat =
-            now + (now - m_started < initial_period ? initial_interval
-                                                    : heartbeat_interval);
+        m_next_heartbeat = now + (m_members.settled(now) ? heartbeat_interval
+                                                         : discovery_interval);
         send_heartbeats(now, out);
     }
     if (now >= m_next_asks) {
@@ -76,6 +76,7 @@
     gateway_datagram datagram;
     datagram.process = m_process;
     m_members.fill(datagram, now);
+    m_members.add_hints(datagram, now);
     return datagram;
 }
 
@@ -97,7 +98,6 @@
         suspicion_datagram_burst * tokens_per_request, now);
     gateway_datagram datagram;
     m_members.fill(datagram, now);
-    datagram.members.clear();
     datagram.process = m_process;
     datagram.suspicions = suspicions;
     for (const std::string& to : m_members.live(now)) {
@@ -118,7 +118,6 @@
     }
     for (auto& [to, datagram] : by_peer) {
         m_members.fill(datagram, now);
-        datagram.members.clear();
         datagram.process = m_process;
         out.push_back(send_datagram{to, std::move(datagram)});
     }
--- a/src/core/gateway_peers.hpp
+++ b/src/core/gateway_peers.hpp
@@ -35,7 +35,6 @@
     incarnation m_process;
     rate_slices& m_rates;
     member_directory& m_members;
-    time_point m_started;
     time_point m_next_heartbeat;
     time_point m_next_asks;
     /** Token bucket for datagrams that carry suspicions. */
--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -1,6 +1,7 @@
 #include "systems/members/member_directory.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cranberrywood {
@@ -13,15 +14,27 @@
 constexpr duration min_settling_time = 1s;
 /** Time after which a VM counts as settled though peers report more VMs. */
 constexpr duration max_settling_time = 10s;
-/** Silence after which a VM no longer gets requests. */
-constexpr duration live_timeout = 3500ms;
+/**
+ * Silence after which a VM of a small fleet no longer gets requests. In a large
+ * fleet, the time for news of a VM to spread is added.
+ */
+constexpr duration min_live_timeout = 3s;
+/** Multiple of the mean time in which news spreads to all VMs. */
+constexpr double spread_margin = 1.5;
+/** Hints that a VM receives per second, in datagrams. */
+constexpr double datagrams_per_second = 6.0;
 /** Silence after which a VM is evicted. */
 constexpr duration eviction_time = 10min;
 /** Time for which a fleet size reported by a peer is used. */
 constexpr duration reported_size_lifetime = 60s;
 constexpr std::size_t max_heartbeat_targets = 3;
-/** Member hints per datagram, which keep it below 1,000 bytes. */
-constexpr std::size_t max_member_hints = 24;
+/** Member hints per datagram, which keep it below 1,100 bytes. */
+constexpr std::size_t max_member_hints = 80;
+/**
+ * Share of the reported fleet that a VM knows once it is settled. The last few
+ * VMs take the longest to discover, and change the order of few workspaces.
+ */
+constexpr double settled_share = 0.95;
 
 } // namespace
 
@@ -60,7 +73,7 @@
 bool member_directory::is_live(const std::string& address, time_point now) const
 {
     const auto known = m_heard.find(address);
-    return known != m_heard.end() && now - known->second <= live_timeout;
+    return known != m_heard.end() && now - known->second <= live_timeout();
 }
 
 std::vector<std::string> member_directory::ranked(std::uint64_t key,
@@ -85,6 +98,12 @@
     return addresses;
 }
 
+bool member_directory::knows_more_than(const gateway_datagram& datagram) const
+{
+    return !datagram.settled && datagram.is_heartbeat() &&
+           m_heard.size() + 1 > datagram.fleet_size;
+}
+
 // All seeds are targets until a VM is heard. Afterwards one random seed or
 // silent VM is added to each heartbeat, so that the sides of a healed partition
 // discover each other again.
@@ -103,7 +122,7 @@
     }
     if (!targets.empty()) {
         for (const auto& [address, heard] : m_heard) {
-            if (now - heard > live_timeout) {
+            if (now - heard > live_timeout()) {
                 others.push_back(address);
             }
         }
@@ -119,21 +138,37 @@
     return targets;
 }
 
-void member_directory::fill(gateway_datagram& datagram, time_point now)
+// News of a VM spreads like a rumour: the number of VMs that have it grows by
+// the share of the fleet that the hints of one second contain.
+duration member_directory::live_timeout() const
+{
+    const auto vms = static_cast<double>(m_heard.size() + 1);
+    const double hinted_share =
+        std::min(1.0, static_cast<double>(max_member_hints) / vms);
+    const std::chrono::duration<double> spread(
+        spread_margin * std::log(vms) / (datagrams_per_second * hinted_share));
+    return min_live_timeout + std::chrono::duration_cast<duration>(spread);
+}
+
+void member_directory::fill(gateway_datagram& datagram, time_point now) const
 {
     datagram.fleet_size = static_cast<std::uint32_t>(m_heard.size() + 1);
     datagram.settled = settled(now);
-    std::vector<std::string> addresses;
+}
+
+void member_directory::add_hints(gateway_datagram& datagram, time_point now)
+{
+    std::vector<member_hint> hints;
+    hints.reserve(m_heard.size());
     for (const auto& [address, heard] : m_heard) {
-        addresses.push_back(address);
-    }
-    if (addresses.size() > max_member_hints) {
-        shuffle(addresses);
-        addresses.resize(max_member_hints);
+        hints.push_back({address, now - heard});
     }
-    for (const std::string& address : addresses) {
-        datagram.members.push_back({address, now - m_heard[address]});
+    const std::size_t count = std::min(hints.size(), max_member_hints);
+    for (std::size_t i = 0; i < count && count < hints.size(); ++i) {
+        std::swap(hints[i], hints[i + m_random.below(hints.size() - i)]);
     }
+    hints.resize(count);
+    datagram.members = std::move(hints);
 }
 
 std::uint32_t member_directory::fleet_size(time_point now) const
@@ -149,7 +184,7 @@
 {
     std::vector<std::string> addresses;
     for (const auto& [address, heard] : m_heard) {
-        if (now - heard <= live_timeout) {
+        if (now - heard <= live_timeout()) {
             addresses.push_back(address);
         }
     }
@@ -175,11 +210,12 @@
         return true;
     }
     const duration age = now - m_started;
-    const bool all_known = m_heard.size() + 1 >= m_reported_size;
+    const bool most_known = static_cast<double>(m_heard.size() + 1) >=
+                            settled_share * m_reported_size;
     const bool had_settling_time =
         m_settled_peer_seen || age >= min_settling_time;
     return !m_heard.empty() &&
-           ((all_known && had_settling_time) || age >= max_settling_time);
+           ((most_known && had_settling_time) || age >= max_settling_time);
 }
 
 /** Returns whether no other VM can be in the fleet. */
--- a/src/systems/members/member_directory.hpp
+++ b/src/systems/members/member_directory.hpp
@@ -39,8 +39,16 @@
 
     /** Returns the addresses to send the next heartbeat to. */
     std::vector<std::string> heartbeat_targets(time_point now);
-    /** Fills in a datagram's fleet size, settled state and member hints. */
-    void fill(gateway_datagram& datagram, time_point now);
+    /** Fills in a datagram's fleet size and settled state. */
+    void fill(gateway_datagram& datagram, time_point now) const;
+    /** Adds hints of members, chosen at random if there are many. */
+    void add_hints(gateway_datagram& datagram, time_point now);
+
+    /**
+     * Returns whether a heartbeat's sender is still discovering the fleet and
+     * knows fewer VMs than this one.
+     */
+    bool knows_more_than(const gateway_datagram& datagram) const;
 
     /** Returns how many VMs may share the limits of the fleet. */
     std::uint32_t fleet_size(time_point now) const;
@@ -73,10 +81,17 @@
     {
         return m_identity.self;
     }
+    /** Returns the addresses from which the fleet is discovered. */
+    const std::vector<std::string>& seeds() const
+    {
+        return m_identity.seeds;
+    }
     /** Returns the VMs heard from recently, in random order. */
     std::vector<std::string> live(time_point now);
 
 private:
+    /** Returns the silence after which a VM no longer gets requests. */
+    duration live_timeout() const;
     void evict_silent(time_point now);
     void record_heard(const std::string& address, time_point at);
     bool is_alone() const;
--- a/src/systems/rates/rate_slices.cpp
+++ b/src/systems/rates/rate_slices.cpp
@@ -19,6 +19,10 @@
 constexpr duration term_margin = 20ms;
 /** Time after which an unanswered ask counts as lost. */
 constexpr duration ask_timeout = 15ms;
+/** Asks in a row that a holder leaves unanswered before it is passed over. */
+constexpr std::uint32_t missed_until_silent = 2;
+/** Time for which it is passed over. */
+constexpr duration silence_backoff = 500ms;
 /** Backoff after every holder has refused. */
 constexpr duration refused_backoff = 100ms;
 /** Maximum number of tokens in one loan. */
@@ -85,6 +89,9 @@
     if (s.unanswered > 0 && now - s.asked_at < ask_timeout) {
         return {};
     }
+    if (s.unanswered > 0 && !s.asked.empty()) {
+        record_silence(s.asked.back(), now);
+    }
     s.unanswered = 0;
     std::vector<addressed_ask> asks;
     const std::uint64_t expected = s.demand.expected_within(prefetch_time, now);
@@ -141,13 +148,29 @@
         const std::string& holder = holders[(m_last_ask + i) % holders.size()];
         const bool was_asked =
             std::find(asked.begin(), asked.end(), holder) != asked.end();
-        if (!was_asked && m_members.is_live(holder, now)) {
+        if (!was_asked && may_ask(holder, now)) {
             return holder;
         }
     }
     return std::nullopt;
 }
 
+// A VM that has failed counts as live for some time in a large fleet.
+void rate_slices::record_silence(const std::string& holder, time_point now)
+{
+    silent_holder& silent = m_silent[holder];
+    if (++silent.missed >= missed_until_silent) {
+        silent.asked_again_at = now + silence_backoff;
+    }
+}
+
+bool rate_slices::may_ask(const std::string& holder, time_point now) const
+{
+    const auto silent = m_silent.find(holder);
+    return m_members.is_live(holder, now) &&
+           (silent == m_silent.end() || now >= silent->second.asked_again_at);
+}
+
 token_grant rate_slices::lend(const token_ask& ask, time_point now)
 {
     token_grant grant{ask.ask, ask.workspace, 0, loan_term};
@@ -173,6 +196,7 @@
         return;
     }
     const time_point asked_at = found->second.at;
+    m_silent.erase(found->second.to);
     m_asks.erase(found);
     slice& s = slice_of(grant.workspace, now);
     s.unanswered -= s.unanswered > 0 ? 1 : 0;
@@ -274,7 +298,7 @@
                                     workspace_id workspace,
                                     std::uint64_t tokens, time_point now)
 {
-    m_asks[++m_last_ask] = {workspace, now};
+    m_asks[++m_last_ask] = {workspace, now, to};
     return {to, {m_last_ask, workspace, tokens}};
 }
 
--- a/src/systems/rates/rate_slices.hpp
+++ b/src/systems/rates/rate_slices.hpp
@@ -100,6 +100,13 @@
     {
         workspace_id workspace;
         time_point at;
+        std::string to;
+    };
+    /** A holder whose last asks were not answered in time. */
+    struct silent_holder
+    {
+        std::uint32_t missed = 0;
+        time_point asked_again_at;
     };
     struct holder_set
     {
@@ -121,7 +128,11 @@
                            std::uint64_t tokens, time_point now);
     void drop_old_asks(time_point now);
 
+    void record_silence(const std::string& holder, time_point now);
+    bool may_ask(const std::string& holder, time_point now) const;
+
     const member_directory& m_members;
+    std::unordered_map<std::string, silent_holder> m_silent;
     std::shared_ptr<const catalogue> m_limits;
     std::uint64_t m_members_version = 0;
     std::unordered_map<workspace_id, holder_set> m_holders;
--- a/src/systems/store/store_readers.cpp
+++ b/src/systems/store/store_readers.cpp
@@ -20,12 +20,7 @@
 /** Number of ranked VMs among which the live readers are found. */
 constexpr std::size_t candidate_count = 24;
 /** Time that a VM needs after its start to learn whether the fleet is large. */
-constexpr duration small_fleet_wait = 400ms;
-/**
- * Time after which a starting VM of a large fleet reads the store although it
- * does not know the members yet.
- */
-constexpr duration max_startup_wait = 1500ms;
+constexpr duration small_fleet_wait = 1s;
 /** Bounds of the exponential backoff after which a failed reader is retried. */
 constexpr duration min_backoff = 5s;
 constexpr duration max_backoff = 60s;
@@ -51,61 +46,75 @@
 // the whole store.
 bool store_readers::must_wait(time_point now) const
 {
-    if (now < m_wait_until) {
-        return true;
-    }
-    const duration age = m_members.age(now);
-    if (m_members.settled(now)) {
-        return false;
-    }
-    return age < small_fleet_wait ||
-           (m_members.known_fleet_size() > max_small_fleet &&
-            age < max_startup_wait);
+    return now < m_wait_until ||
+           (!m_members.settled(now) && m_members.age(now) < small_fleet_wait);
 }
 
 std::optional<std::string> store_readers::source(time_point now)
 {
-    const bool is_reading = !m_followed;
-    if (!m_members.settled(now) ||
-        m_members.fleet_size(now) <= max_small_fleet ||
-        now < m_direct_reads_until) {
+    const bool large = m_members.known_fleet_size() > max_small_fleet;
+    if (!large || now < m_direct_reads_until) {
         m_followed.reset();
         return m_followed;
     }
-    const std::vector<std::string> live = live_candidates(now);
-    const auto self = std::find(live.begin(), live.end(), m_members.self());
-    const auto place = static_cast<std::size_t>(self - live.begin());
+    const bool is_reading = !m_followed;
+    const std::vector<std::string> readers = candidates(now);
+    const auto self =
+        std::find(readers.begin(), readers.end(), m_members.self());
+    const auto place = static_cast<std::size_t>(self - readers.begin());
     const std::size_t places =
         is_reading ? retained_reader_count : reader_count;
-    if (self != live.end() && place < places) {
+    if (self != readers.end() && place < places) {
         m_followed.reset();
     } else if (is_reading) {
-        m_followed = choose_reader(live, now);
+        m_followed = choose_reader(readers, now);
     }
     return m_followed;
 }
 
-std::vector<std::string> store_readers::live_candidates(time_point now) const
+// The seeds come first, as every VM knows them from its start: the VMs of a
+// large fleet that starts at once would else take different VMs for readers
+// until they have discovered each other.
+std::vector<std::string> store_readers::candidates(time_point now) const
 {
-    std::vector<std::string> live;
-    for (const std::string& address :
-         m_members.ranked(order_key, candidate_count)) {
-        if (address == m_members.self() || m_members.is_live(address, now)) {
-            live.push_back(address);
+    const bool settled = m_members.settled(now);
+    std::vector<std::string> readers;
+    const auto add = [&](const std::string& address) {
+        const bool listed =
+            std::find(readers.begin(), readers.end(), address) != readers.end();
+        const bool live = address == m_members.self() || !settled ||
+                          m_members.is_live(address, now);
+        if (!listed && live) {
+            readers.push_back(address);
         }
+    };
+    for (const std::string& seed : m_members.seeds()) {
+        add(seed);
     }
-    return live;
+    if (settled || readers.empty()) {
+        for (const std::string& address :
+             m_members.ranked(order_key, candidate_count)) {
+            add(address);
+        }
+    }
+    return readers;
+}
+
+bool store_readers::in_backoff(const std::string& reader, time_point now) const
+{
+    const auto record = m_failures.find(reader);
+    return record != m_failures.end() && now < record->second.backoff_until;
 }
 
 std::optional<std::string>
-store_readers::choose_reader(const std::vector<std::string>& live,
+store_readers::choose_reader(const std::vector<std::string>& readers,
                              time_point now) const
 {
     std::vector<std::string> usable;
-    for (std::size_t i = 0; i < live.size() && i < reader_count; ++i) {
-        const auto record = m_failures.find(live[i]);
-        if (record == m_failures.end() || now >= record->second.backoff_until) {
-            usable.push_back(live[i]);
+    const std::size_t count = std::min(readers.size(), reader_count);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (!in_backoff(readers[i], now)) {
+            usable.push_back(readers[i]);
         }
     }
     if (usable.empty()) {
@@ -130,7 +139,7 @@
             std::clamp(record.backoff * 2, min_backoff, max_backoff);
         record.backoff_until = now + record.backoff;
     }
-    m_followed = choose_reader(live_candidates(now), now);
+    m_followed = choose_reader(candidates(now), now);
     if (!m_followed || now - m_last_failure < failure_window) {
         m_followed.reset();
         start_direct_read(now);
--- a/src/systems/store/store_readers.hpp
+++ b/src/systems/store/store_readers.hpp
@@ -21,9 +21,9 @@
 /**
  * Decides whether this VM reads the store itself or follows a VM that does
  * (a reader). In a small fleet every VM reads the store. In a large fleet the
- * readers are the first live VMs by rendezvous hashing, and every other VM
- * follows one of them. When readers fail, a VM reads the store itself; if that
- * fails too, it goes back to the readers.
+ * readers are the live seeds and then the first live VMs by rendezvous hashing;
+ * every other VM follows one of them. When readers fail, a VM reads the store
+ * itself; if that fails too, it goes back to the readers.
  */
 class store_readers
 {
@@ -54,9 +54,12 @@
     };
 
     void start_direct_read(time_point now);
-    std::vector<std::string> live_candidates(time_point now) const;
+    /** Returns the VMs that may read, the preferred ones first. */
+    std::vector<std::string> candidates(time_point now) const;
+    bool in_backoff(const std::string& reader, time_point now) const;
     std::optional<std::string>
-    choose_reader(const std::vector<std::string>& live, time_point now) const;
+    choose_reader(const std::vector<std::string>& readers,
+                  time_point now) const;
 
     const member_directory& m_members;
     std::map<std::string, failure_record> m_failures;
--- a/src/tests/loop/gateway_codec_test.cpp
+++ b/src/tests/loop/gateway_codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include "core/random_source.hpp"
 #include "wire/gateway_codec.hpp"
+#include "wire/packed_address.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -47,6 +48,7 @@
     CHECK(datagram.process == incarnation(77));
     CHECK_EQUAL(8U, datagram.fleet_size);
     CHECK(datagram.settled);
+    STRCMP_EQUAL("10.0.0.1:7000", datagram.members[0].address.c_str());
     CHECK(datagram.members[0].age == duration(3s));
     CHECK_EQUAL(3U, datagram.asks[0].tokens);
     CHECK(datagram.grants[0].workspace == workspace_id(9));
@@ -55,6 +57,30 @@
     CHECK(datagram.suspicions[0].term == duration(150ms));
 }
 
+TEST(gateway_codec, a_heartbeat_with_the_most_hints_fits_a_packet)
+{
+    constexpr std::size_t largest_payload = 1400;
+    gateway_datagram datagram = sample();
+    datagram.members.assign(80, {"255.255.255.255:65535", 10min});
+    CHECK(encode(datagram).size() <= largest_payload);
+}
+
+TEST(gateway_codec, addresses_are_packed_or_recognised_as_none)
+{
+    for (const char* text : {"10.0.0.1:7000", "255.255.255.255:65535",
+                             "0.0.0.1:0", "127.0.0.1:1"}) {
+        STRCMP_EQUAL(text, unpack_address(pack_address(text)).c_str());
+    }
+    for (const char* text : {"", "here:1", "10.0.0.1", "10.0.0.1:", "10.0.0:1",
+                             "10.0.0.1:70000", "10.0.0.1:1x"}) {
+        CHECK_TEXT(pack_address(text) == 0, text);
+    }
+    for (const std::int64_t packed :
+         {std::int64_t(0), std::int64_t(-1), std::int64_t(1) << 48}) {
+        CHECK(unpack_address(packed).empty());
+    }
+}
+
 TEST(gateway_codec, an_update_comes_back_as_it_was)
 {
     const auto read = decode_mirror_update(encode(update()));
--- a/src/tests/member_directory_test.cpp
+++ b/src/tests/member_directory_test.cpp
@@ -61,6 +61,7 @@
         for (const std::string& to : m_members[vm]->heartbeat_targets(m_now)) {
             gateway_datagram datagram;
             m_members[vm]->fill(datagram, m_now);
+            m_members[vm]->add_hints(datagram, m_now);
             for (std::size_t other = 0; other < m_members.size(); ++other) {
                 if (address(other) == to && other < m_silent_from &&
                     m_random.below(3) != 0) {
--- a/src/wire/field_copy.hpp
+++ b/src/wire/field_copy.hpp
@@ -3,6 +3,7 @@
 
 #include "units/ids.hpp"
 #include "units/time.hpp"
+#include "wire/packed_address.hpp"
 
 #include <cstdint>
 #include <stdexcept>
@@ -68,6 +69,16 @@
     {
         to = static_cast<std::int8_t>(from);
     }
+    void address(const std::string& from, std::int64_t& to)
+    {
+        to = pack_address(from);
+    }
+    void milliseconds(duration from, std::int32_t& to)
+    {
+        using std::chrono::milliseconds;
+        to = static_cast<std::int32_t>(
+            std::chrono::duration_cast<milliseconds>(from).count());
+    }
     template <class C, class W>
     void operator()(const std::vector<C>& from, std::vector<W>& to)
     {
@@ -118,6 +129,17 @@
     {
         to = from;
     }
+    void address(std::string& to, std::int64_t from)
+    {
+        to = unpack_address(from);
+        if (to.empty()) {
+            throw out_of_range_value("address of a VM");
+        }
+    }
+    void milliseconds(duration& to, std::int32_t from)
+    {
+        to = std::chrono::milliseconds(from);
+    }
     template <class Enum>
     void choice(Enum& to, std::int8_t from, Enum last)
     {
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -5,9 +5,10 @@
  */
 namespace cpp cranberrywood.wire
 
+/** An IPv4 address and port as one number, and an age in milliseconds. */
 struct member_hint {
-  1: string address
-  2: i64 age
+  1: i64 address
+  2: i32 age_ms
 }
 
 struct token_ask {
@@ -32,10 +33,11 @@
   1: i64 process
   2: i32 fleet_size
   3: bool settled
-  4: list<member_hint> members
+  // 4 held member hints with addresses as text.
   5: list<token_ask> asks
   6: list<token_grant> grants
   7: list<server_suspicion> suspicions
+  8: list<member_hint> members
 }
 
 struct mirrored_item {
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -13,8 +13,8 @@
 void copy_fields(D& copy, typename D::template core<member_hint> c,
                  typename D::template wired<wire::member_hint> w)
 {
-    copy(c.address, w.address);
-    copy(c.age, w.age);
+    copy.address(c.address, w.address);
+    copy.milliseconds(c.age, w.age_ms);
 }
 
 template <class D>
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -18,12 +18,12 @@
 }
 
 
-void member_hint::__set_address(const std::string& val) {
+void member_hint::__set_address(const int64_t val) {
   this->address = val;
 }
 
-void member_hint::__set_age(const int64_t val) {
-  this->age = val;
+void member_hint::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
 }
 std::ostream& operator<<(std::ostream& out, const member_hint& obj)
 {
@@ -54,17 +54,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->address);
           this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->age);
-          this->__isset.age = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -86,12 +86,12 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("member_hint");
 
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->address);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -102,18 +102,18 @@
 void swap(member_hint &a, member_hint &b) {
   using ::std::swap;
   swap(a.address, b.address);
-  swap(a.age, b.age);
+  swap(a.age_ms, b.age_ms);
   swap(a.__isset, b.__isset);
 }
 
-member_hint::member_hint(const member_hint& other0) {
+member_hint::member_hint(const member_hint& other0) noexcept {
   address = other0.address;
-  age = other0.age;
+  age_ms = other0.age_ms;
   __isset = other0.__isset;
 }
-member_hint& member_hint::operator=(const member_hint& other1) {
+member_hint& member_hint::operator=(const member_hint& other1) noexcept {
   address = other1.address;
-  age = other1.age;
+  age_ms = other1.age_ms;
   __isset = other1.__isset;
   return *this;
 }
@@ -121,7 +121,7 @@
   using ::apache::thrift::to_string;
   out << "member_hint(";
   out << "address=" << to_string(address);
-  out << ", " << "age=" << to_string(age);
+  out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
 }
 
@@ -538,10 +538,6 @@
   this->settled = val;
 }
 
-void gateway_datagram::__set_members(const std::vector<member_hint> & val) {
-  this->members = val;
-}
-
 void gateway_datagram::__set_asks(const std::vector<token_ask> & val) {
   this->asks = val;
 }
@@ -553,6 +549,10 @@
 void gateway_datagram::__set_suspicions(const std::vector<server_suspicion> & val) {
   this->suspicions = val;
 }
+
+void gateway_datagram::__set_members(const std::vector<member_hint> & val) {
+  this->members = val;
+}
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
 {
   obj.printTo(out);
@@ -605,82 +605,82 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->members.clear();
+            this->asks.clear();
             uint32_t _size8;
             ::apache::thrift::protocol::TType _etype11;
             xfer += iprot->readListBegin(_etype11, _size8);
-            this->members.resize(_size8);
+            this->asks.resize(_size8);
             uint32_t _i12;
             for (_i12 = 0; _i12 < _size8; ++_i12)
             {
-              xfer += this->members[_i12].read(iprot);
+              xfer += this->asks[_i12].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.members = true;
+          this->__isset.asks = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->asks.clear();
+            this->grants.clear();
             uint32_t _size13;
             ::apache::thrift::protocol::TType _etype16;
             xfer += iprot->readListBegin(_etype16, _size13);
-            this->asks.resize(_size13);
+            this->grants.resize(_size13);
             uint32_t _i17;
             for (_i17 = 0; _i17 < _size13; ++_i17)
             {
-              xfer += this->asks[_i17].read(iprot);
+              xfer += this->grants[_i17].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.asks = true;
+          this->__isset.grants = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->grants.clear();
+            this->suspicions.clear();
             uint32_t _size18;
             ::apache::thrift::protocol::TType _etype21;
             xfer += iprot->readListBegin(_etype21, _size18);
-            this->grants.resize(_size18);
+            this->suspicions.resize(_size18);
             uint32_t _i22;
             for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += this->grants[_i22].read(iprot);
+              xfer += this->suspicions[_i22].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.grants = true;
+          this->__isset.suspicions = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->suspicions.clear();
+            this->members.clear();
             uint32_t _size23;
             ::apache::thrift::protocol::TType _etype26;
             xfer += iprot->readListBegin(_etype26, _size23);
-            this->suspicions.resize(_size23);
+            this->members.resize(_size23);
             uint32_t _i27;
             for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              xfer += this->suspicions[_i27].read(iprot);
+              xfer += this->members[_i27].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.suspicions = true;
+          this->__isset.members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -714,11 +714,11 @@
   xfer += oprot->writeBool(this->settled);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<member_hint> ::const_iterator _iter28;
-    for (_iter28 = this->members.begin(); _iter28 != this->members.end(); ++_iter28)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<token_ask> ::const_iterator _iter28;
+    for (_iter28 = this->asks.begin(); _iter28 != this->asks.end(); ++_iter28)
     {
       xfer += (*_iter28).write(oprot);
     }
@@ -726,11 +726,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 6);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<token_ask> ::const_iterator _iter29;
-    for (_iter29 = this->asks.begin(); _iter29 != this->asks.end(); ++_iter29)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<token_grant> ::const_iterator _iter29;
+    for (_iter29 = this->grants.begin(); _iter29 != this->grants.end(); ++_iter29)
     {
       xfer += (*_iter29).write(oprot);
     }
@@ -738,11 +738,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 7);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<token_grant> ::const_iterator _iter30;
-    for (_iter30 = this->grants.begin(); _iter30 != this->grants.end(); ++_iter30)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
+    std::vector<server_suspicion> ::const_iterator _iter30;
+    for (_iter30 = this->suspicions.begin(); _iter30 != this->suspicions.end(); ++_iter30)
     {
       xfer += (*_iter30).write(oprot);
     }
@@ -750,11 +750,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 8);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<server_suspicion> ::const_iterator _iter31;
-    for (_iter31 = this->suspicions.begin(); _iter31 != this->suspicions.end(); ++_iter31)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<member_hint> ::const_iterator _iter31;
+    for (_iter31 = this->members.begin(); _iter31 != this->members.end(); ++_iter31)
     {
       xfer += (*_iter31).write(oprot);
     }
@@ -772,10 +772,10 @@
   swap(a.process, b.process);
   swap(a.fleet_size, b.fleet_size);
   swap(a.settled, b.settled);
-  swap(a.members, b.members);
   swap(a.asks, b.asks);
   swap(a.grants, b.grants);
   swap(a.suspicions, b.suspicions);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
@@ -783,20 +783,20 @@
   process = other32.process;
   fleet_size = other32.fleet_size;
   settled = other32.settled;
-  members = other32.members;
   asks = other32.asks;
   grants = other32.grants;
   suspicions = other32.suspicions;
+  members = other32.members;
   __isset = other32.__isset;
 }
 gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other33) {
   process = other33.process;
   fleet_size = other33.fleet_size;
   settled = other33.settled;
-  members = other33.members;
   asks = other33.asks;
   grants = other33.grants;
   suspicions = other33.suspicions;
+  members = other33.members;
   __isset = other33.__isset;
   return *this;
 }
@@ -806,10 +806,10 @@
   out << "process=" << to_string(process);
   out << ", " << "fleet_size=" << to_string(fleet_size);
   out << ", " << "settled=" << to_string(settled);
-  out << ", " << "members=" << to_string(members);
   out << ", " << "asks=" << to_string(asks);
   out << ", " << "grants=" << to_string(grants);
   out << ", " << "suspicions=" << to_string(suspicions);
+  out << ", " << "members=" << to_string(members);
   out << ")";
 }
 
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -36,36 +36,39 @@
 class mirror_update;
 
 typedef struct _member_hint__isset {
-  _member_hint__isset() : address(false), age(false) {}
+  _member_hint__isset() : address(false), age_ms(false) {}
   bool address :1;
-  bool age :1;
+  bool age_ms :1;
 } _member_hint__isset;
 
+/**
+ * An IPv4 address and port as one number, and an age in milliseconds.
+ */
 class member_hint : public virtual ::apache::thrift::TBase {
  public:
 
-  member_hint(const member_hint&);
-  member_hint& operator=(const member_hint&);
+  member_hint(const member_hint&) noexcept;
+  member_hint& operator=(const member_hint&) noexcept;
   member_hint() noexcept
-              : address(),
-                age(0) {
+              : address(0),
+                age_ms(0) {
   }
 
   virtual ~member_hint() noexcept;
-  std::string address;
-  int64_t age;
+  int64_t address;
+  int32_t age_ms;
 
   _member_hint__isset __isset;
 
-  void __set_address(const std::string& val);
+  void __set_address(const int64_t val);
 
-  void __set_age(const int64_t val);
+  void __set_age_ms(const int32_t val);
 
   bool operator == (const member_hint & rhs) const
   {
     if (!(address == rhs.address))
       return false;
-    if (!(age == rhs.age))
+    if (!(age_ms == rhs.age_ms))
       return false;
     return true;
   }
@@ -257,14 +260,14 @@
 std::ostream& operator<<(std::ostream& out, const server_suspicion& obj);
 
 typedef struct _gateway_datagram__isset {
-  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false) {}
+  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), asks(false), grants(false), suspicions(false), members(false) {}
   bool process :1;
   bool fleet_size :1;
   bool settled :1;
-  bool members :1;
   bool asks :1;
   bool grants :1;
   bool suspicions :1;
+  bool members :1;
 } _gateway_datagram__isset;
 
 class gateway_datagram : public virtual ::apache::thrift::TBase {
@@ -282,10 +285,10 @@
   int64_t process;
   int32_t fleet_size;
   bool settled;
-  std::vector<member_hint>  members;
   std::vector<token_ask>  asks;
   std::vector<token_grant>  grants;
   std::vector<server_suspicion>  suspicions;
+  std::vector<member_hint>  members;
 
   _gateway_datagram__isset __isset;
 
@@ -295,14 +298,14 @@
 
   void __set_settled(const bool val);
 
-  void __set_members(const std::vector<member_hint> & val);
-
   void __set_asks(const std::vector<token_ask> & val);
 
   void __set_grants(const std::vector<token_grant> & val);
 
   void __set_suspicions(const std::vector<server_suspicion> & val);
 
+  void __set_members(const std::vector<member_hint> & val);
+
   bool operator == (const gateway_datagram & rhs) const
   {
     if (!(process == rhs.process))
@@ -311,14 +314,14 @@
       return false;
     if (!(settled == rhs.settled))
       return false;
-    if (!(members == rhs.members))
-      return false;
     if (!(asks == rhs.asks))
       return false;
     if (!(grants == rhs.grants))
       return false;
     if (!(suspicions == rhs.suspicions))
       return false;
+    if (!(members == rhs.members))
+      return false;
     return true;
   }
   bool operator != (const gateway_datagram &rhs) const {
