Answers without end are recognised and bounded

Here a chunk size without end was kept whole until the request's deadline, interim responses without end were read as long, and a body was kept up to 64 MB, while a VM has 160 MB in all. Change: bytes that cannot be parsed are kept up to the limit of a head, eight interim responses are read before an answer, a body has 4 MB. The exchange ends as an invalid answer, its connection is closed, its server avoided, and the request sent to another server where that is safe. Tests: answers_without_end_are_recognised_within_the_limits (failed: chunk size), an_answer_without_end_fails_and_closes_its_connection (failed: body, interim responses).

--- a/src/loop/backend_connection.cpp
+++ b/src/loop/backend_connection.cpp
@@ -20,7 +20,13 @@
 constexpr duration min_idle_limit = 250ms;
 /** Time in which a server that forgot a connection resets it: a round trip. */
 constexpr duration prompt_reset = 8ms;
-constexpr message_limits answer_limits{65536, 64UL * 1024 * 1024};
+/** Interim responses before an answer that are read before giving up. */
+constexpr std::uint32_t max_interim = 8;
+/**
+ * Largest head and body of an answer, in bytes. A VM has 160 MB, and several
+ * servers may send without end at once.
+ */
+constexpr message_limits answer_limits{65536, 4UL * 1024 * 1024};
 
 } // namespace
 
@@ -84,6 +90,7 @@
 void backend_connection::write(carried_exchange exchange)
 {
     m_exchange = std::move(exchange);
+    m_interim = 0;
     if (m_exchange->head) {
         m_reader.expect_no_body();
     }
@@ -166,9 +173,6 @@
     http_response response = m_reader.take();
     const bool interim = http::to_status_class(response.result()) ==
                          http::status_class::informational;
-    if (interim && m_reader.kept_bytes() == 0) {
-        return;
-    }
     if (!interim &&
         m_links.m_handler.belongs(response, m_exchange->request_id)) {
         const bool reusable = !ends && response.keep_alive() &&
@@ -178,7 +182,8 @@
         return;
     }
     m_strays += interim ? 0 : 1;
-    if (m_strays > max_strays || ends) {
+    m_interim += interim ? 1 : 0;
+    if (m_strays > max_strays || m_interim > max_interim || ends) {
         fail(exchange_fault::invalid_answer);
         return;
     }
--- a/src/loop/backend_connection.hpp
+++ b/src/loop/backend_connection.hpp
@@ -83,6 +83,8 @@
     duration m_rested{0};
     time_point m_written_at;
     std::uint32_t m_strays = 0;
+    /** Interim responses that came before the answer. */
+    std::uint32_t m_interim = 0;
     time_point m_idle_since;
     duration m_idle_limit = std::chrono::seconds(8);
 };
--- a/src/loop/message_reader.hpp
+++ b/src/loop/message_reader.hpp
@@ -141,6 +141,11 @@
             m_input.erase(0, used);
             m_state = read_state::partial;
             if (error == http::error::need_more) {
+                // Body bytes are taken as they come; a head or a line between
+                // chunks that is longer than this has no end.
+                if (m_input.size() > m_limits.header_bytes) {
+                    m_state = read_state::malformed;
+                }
                 break;
             }
             if (error) {
--- a/src/tests/loop/backend_links_test.cpp
+++ b/src/tests/loop/backend_links_test.cpp
@@ -284,3 +284,37 @@
     CHECK(run_until(io, [&] { return peer->ended(); }));
     CHECK_EQUAL(0, handler.ended());
 }
+
+// The server goes on until its caller closes. The exchange ends, so that its
+// request can go to another server, and the connection is closed.
+TEST(backend_links, an_answer_without_end_fails_and_closes_its_connection)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: a\r\n";
+    const std::string body(65536, 'b');
+    const std::pair<std::string, std::string> table[] = {
+        {head + "\r\n", body},
+        {head + "Transfer-Encoding: chunked\r\n\r\n",
+         "10000\r\n" + body + "\r\n"},
+        {head + "X: ", body},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+    };
+    constexpr int most_sends = 200;
+    std::size_t count = 0;
+    for (const auto& [first, repeated] : table) {
+        start("a");
+        const auto peer = accept();
+        await_request(*peer, "a");
+        peer->send(first);
+        ++count;
+        for (int i = 0; i < most_sends && handler.ended() < count; ++i) {
+            peer->send(repeated);
+            io.restart();
+            io.poll();
+        }
+        await_end(count);
+        CHECK(handler.faults.back() == exchange_fault::invalid_answer);
+        CHECK(run_until(io, [&] { return peer->ended(); }));
+        CHECK_EQUAL(0, links->idle_connections());
+    }
+    CHECK_EQUAL(0, handler.answers.size());
+}
--- a/src/tests/loop/message_reader_test.cpp
+++ b/src/tests/loop/message_reader_test.cpp
@@ -15,6 +15,14 @@
     read_state state;
 };
 
+/** An answer that goes on without end after its first bytes. */
+struct endless_row
+{
+    const char* name;
+    std::string first;
+    std::string repeated;
+};
+
 const message_limits limits{200, 20};
 
 } // namespace
@@ -111,3 +119,46 @@
     });
     CHECK(holds);
 }
+
+// A backend server in trouble may send bytes without end, in a head or a body.
+// The reader recognises each within its limits and keeps no more than these.
+TEST(message_reader, answers_without_end_are_recognised_within_the_limits)
+{
+    const message_limits bounds{4096, 65536};
+    // A chunk of one byte takes six on the wire.
+    constexpr std::size_t most_bytes = 6 * 65536 + 4096;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const endless_row table[] = {
+        {"no HTTP", "", "\x05\x06garbage"},
+        {"zeros", "", std::string(16, '\0')},
+        {"line breaks", "", "\r\n"},
+        {"version", "HTTP/1", "1"},
+        {"reason", "HTTP/1.1 200 ", "a"},
+        {"header name", head, "a"},
+        {"header value", head + "X: ", "a"},
+        {"folded header", head + "X: a", "\r\n a"},
+        {"header lines", head, "X: a\r\n"},
+        {"body to its end", head + "\r\n", "body"},
+        {"body of a great length", head + "Content-Length: 99999999999\r\n\r\n",
+         "body"},
+        {"chunks", chunked, "1\r\na\r\n"},
+        {"one chunk", chunked + "fffffff\r\n", "body"},
+        {"chunk size", chunked, "0"},
+        {"chunk extension", chunked + "1;a=", "b"},
+        {"trailers", chunked + "0\r\n", "X: a\r\n"},
+    };
+    for (const endless_row& row : table) {
+        response_reader reader(bounds);
+        read_state state = reader.feed(row.first);
+        std::size_t bytes = row.first.size();
+        while ((state == read_state::empty || state == read_state::partial) &&
+               bytes <= most_bytes) {
+            state = reader.feed(row.repeated);
+            bytes += row.repeated.size();
+        }
+        CHECK_TEXT(state != read_state::empty && state != read_state::partial &&
+                       state != read_state::complete,
+                   row.name);
+    }
+}
