First sends stay in the data centre, refusals count longer at seldom senders

Two servers were drawn of all and the cheaper taken, so a third of the sends left the data centre whatever the preference. Change: the first of the two servers drawn is one of the own data centre if there is one. The first suspicion after a refusal or a failure lasts half of the VM's send gap, 150 ms to 1.2 s. Ruled out: a stronger preference in the cost (no gain before, two in three draws at most). Tests: calm_first_sends_stay_in_the_data_centre, a_refusal_counts_for_longer_at_a_vm_that_sends_seldom.

--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -87,22 +87,36 @@
         if (!best.empty() && health < best.front().health) {
             best.clear();
         }
-        best.push_back(
-            {id, health, cost_of(row, criteria.own_data_centre, typical, now)});
+        best.push_back({id, health,
+                        row.entry.data_centre == criteria.own_data_centre,
+                        cost_of(row, criteria.own_data_centre, typical, now)});
     }
     if (best.empty()) {
         return usable ? choice_result(all_at_capacity{})
                       : choice_result(no_usable_server{});
     }
-    if (best.size() == 1) {
-        return best.front().id;
+    return choose_of(std::move(best));
+}
+
+// The first candidate is local if there is one: a VM then keeps its connections
+// to few servers busy, and most answers stay in the data centre. The second one
+// takes over when the first is slow or busy.
+backend_server_id server_choice::choose_of(std::vector<candidate> best) const
+{
+    const auto remote = std::partition(
+        best.begin(), best.end(), [](const candidate& c) { return c.local; });
+    const auto locals = static_cast<std::size_t>(remote - best.begin());
+    const std::size_t first_of = locals > 0 ? locals : best.size();
+    const std::size_t first = m_random.below(first_of);
+    std::swap(best[first], best.back());
+    const candidate taken = best.back();
+    best.pop_back();
+    if (best.empty()) {
+        return taken.id;
     }
-    const std::size_t first = m_random.below(best.size());
-    std::size_t second = m_random.below(best.size() - 1);
-    second += second >= first ? 1 : 0;
-    return best[first].cost <= best[second].cost * random_cost_factor()
-               ? best[first].id
-               : best[second].id;
+    const candidate& other = best[m_random.below(best.size())];
+    return taken.cost <= other.cost * random_cost_factor() ? taken.id
+                                                           : other.id;
 }
 
 // A small random factor, so that the slower of two servers is tried again once
--- a/src/systems/servers/server_choice.hpp
+++ b/src/systems/servers/server_choice.hpp
@@ -37,8 +37,9 @@
 
 /**
  * Selects the backend server for one send from this VM's observations. Of the
- * best health class (good, else cold, else suspect) it draws two at random and
- * takes the one that is expected to answer sooner.
+ * best health class (good, else cold, else suspect) it draws two at random, the
+ * first from the VM's own data centre if possible, and takes the one that is
+ * expected to answer sooner.
  */
 class server_choice
 {
@@ -67,9 +68,12 @@
     {
         backend_server_id id;
         health_class health = health_class::good;
+        /** It is in the VM's own data centre. */
+        bool local = false;
         double cost = 0.0;
     };
 
+    backend_server_id choose_of(std::vector<candidate> best) const;
     double random_cost_factor() const;
     health_class health_of(const server_row& row, time_point now) const;
     double cost_of(const server_row& row, data_centre_id own, duration typical,
--- a/src/systems/servers/server_suspicions.cpp
+++ b/src/systems/servers/server_suspicions.cpp
@@ -15,6 +15,11 @@
 /** Term of a first suspicion: slightly longer than a usual pause. */
 constexpr duration first_term = 150ms;
 constexpr duration max_term = 2400ms;
+/**
+ * Longest first term after a refusal or a failure. Unlike a pause, these come
+ * in series, so a VM that sends seldom would meet each of them anew.
+ */
+constexpr duration max_first_fault_term = 1200ms;
 /** A new suspicion this soon after a term ends doubles the term. */
 constexpr duration repeat_period = 500ms;
 constexpr std::uint32_t max_in_row = 5;
@@ -37,6 +42,12 @@
     return "unknown";
 }
 
+/** Returns the term of a first suspicion after a refusal or a failure. */
+duration first_fault_term(duration send_gap)
+{
+    return std::clamp(send_gap / 2, first_term, max_first_fault_term);
+}
+
 void log(const server_row& row, const std::string& source, const char* cause,
          duration term, gateway_commands& out)
 {
@@ -65,7 +76,10 @@
     }
     const bool repeated = now - row->suspected_until < repeat_period;
     const std::uint32_t previous = repeated ? row->suspicions_in_row : 0;
-    const duration term = std::min(first_term * (1U << previous), max_term);
+    const duration first = cause == suspicion_cause::late
+                               ? first_term
+                               : first_fault_term(row->send_gap);
+    const duration term = std::min(first * (1U << previous), max_term);
     extend_suspicion(*row, term, now);
     log(*row, "self", name_of(cause), term, out);
     m_unannounced.push_back({server, term});
--- a/src/tests/server_choice_test.cpp
+++ b/src/tests/server_choice_test.cpp
@@ -69,6 +69,33 @@
     CHECK_EQUAL(300, counts.at(2) + counts.at(3));
 }
 
+// Shards have one server in each data centre, and a VM of a large fleet sends
+// to one shard about once a second. Spread evenly, it would open a connection
+// for most sends, and all VMs together hold more than a server accepts.
+TEST(server_choice, calm_first_sends_stay_in_the_data_centre)
+{
+    add(1, local);
+    add(2, remote);
+    add(3, data_centre_id(3));
+    const auto counts = choice_counts(criteria());
+    CHECK(counts.at(1) >= 270);
+}
+
+TEST(server_choice, a_slow_or_busy_local_server_gives_sends_away)
+{
+    add(1, local);
+    add(2, remote);
+    add(3, data_centre_id(3));
+    for (int i = 0; i < 8; ++i) {
+        for (const std::uint64_t id : {1U, 2U, 3U}) {
+            const exchange_id exchange = send(id);
+            now += id == 1 ? 45ms : 15ms;
+            observer.answered(backend_server_id(id), exchange, true, now);
+        }
+    }
+    CHECK_EQUAL(0, choice_counts(criteria()).count(1));
+}
+
 TEST(server_choice, an_answer_ends_the_suspicion)
 {
     add(1, local);
--- a/src/tests/server_suspicions_test.cpp
+++ b/src/tests/server_suspicions_test.cpp
@@ -121,3 +121,22 @@
     servers.put(again, now);
     CHECK(sends_to_first() > 0);
 }
+
+// Half of the servers refuse for seconds. A VM that sends to a server every few
+// seconds would be refused anew each time after a term of 150 ms.
+TEST(server_suspicions, a_refusal_counts_for_longer_at_a_vm_that_sends_seldom)
+{
+    server_row& row = *servers.find(first);
+    const std::pair<duration, duration> table[] = {
+        {0ms, 150ms}, {400ms, 200ms}, {2s, 1000ms}, {12s, 1200ms}};
+    for (const auto& [send_gap, term] : table) {
+        now += 10s;
+        row.send_gap = send_gap;
+        suspicions.found(first, suspicion_cause::refused, now, out);
+        const auto announced = suspicions.take_local_suspicions();
+        CHECK_EQUAL(1, announced.size());
+        CHECK(announced.front().term == term);
+    }
+    now += 10s;
+    CHECK(report_late() == 150ms);
+}
