A server removed after the store's return is used no longer than entries lapse

Change: a missing entry counts as lapsed until 2.2 s after the store's return, however late its removal is read; the bound of 3 s holds from any removal on. Test: a_server_that_leaves_after_the_stores_return_is_not_kept_longer (failed before).

--- a/src/systems/servers/server_directory.cpp
+++ b/src/systems/servers/server_directory.cpp
@@ -11,10 +11,11 @@
 
 using namespace std::chrono_literals;
 
-/** Time after the store becomes reachable until live servers are listed. */
-constexpr duration relist_period = 2500ms;
-/** Use of a server whose entry was removed while entries may expire. */
-constexpr duration unlisted_grace = 2200ms;
+/**
+ * Time after the store becomes reachable until live servers are listed again;
+ * until then a server whose entry is missing is used.
+ */
+constexpr duration relist_period = 2200ms;
 /** A new sample has a weight of one in this many in the smoothed value. */
 constexpr int smoothing = 5;
 /** Time for which a server is assumed to keep an idle connection. */
@@ -117,9 +118,10 @@
     if (row.unlisted_at) {
         return;
     }
-    const bool may_lapse =
-        !m_store_reachable || now - m_store_contact_since < relist_period;
-    row.unlisted_at = may_lapse ? now + unlisted_grace : now;
+    const time_point reachable_since =
+        m_store_reachable ? m_store_contact_since : now;
+    row.unlisted_at = std::max(now, reachable_since + relist_period);
+    const bool may_lapse = *row.unlisted_at > now;
     log_server(log_code::server_unlisted, row.entry,
                may_lapse ? " may_lapse=yes" : " may_lapse=no", out);
 }
--- a/src/tests/gateway_test.cpp
+++ b/src/tests/gateway_test.cpp
@@ -514,6 +514,25 @@
     CHECK_EQUAL(0, started.size());
 }
 
+// Servers that live are listed again within two seconds of the store's return.
+// One that is removed later is gone: counted from its removal, the time would
+// pass the bound of 3 s for a server that leaves.
+TEST(gateway, a_server_that_leaves_after_the_stores_return_is_not_kept_longer)
+{
+    feed(store_reachability_changed{false});
+    pass(5s);
+    feed(store_reachability_changed{true});
+    pass(1900ms);
+    for (std::uint64_t id = 1000; id < 1003; ++id) {
+        feed(server_unlisted{backend_server_id(id)});
+    }
+    ask("/orders/1");
+    CHECK_EQUAL(1, started.size());
+    pass(301ms);
+    ask("/orders/2");
+    CHECK_EQUAL(1, started.size());
+}
+
 TEST(gateway, requests_wait_for_capacity_and_leave_in_order_of_priority)
 {
     // Each of the three servers has capacity for 95 requests.
