--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -16,12 +16,12 @@
 constexpr duration max_settling_time = 10s;
 /**
  * Silence after which a VM of a small fleet no longer gets requests. In a large
- * fleet, the time for news of a VM to spread is added.
+ * fleet, the time in which a heartbeat spreads is added.
  */
 constexpr duration min_live_timeout = 3s;
-/** Multiple of the mean time in which news spreads to all VMs. */
+/** Multiple of the mean time in which a heartbeat spreads to all VMs. */
 constexpr double spread_margin = 1.5;
-/** Hints that a VM receives per second, in datagrams. */
+/** Datagrams with hints that a VM receives per second. */
 constexpr double datagrams_per_second = 6.0;
 /** Silence after which a VM is evicted. */
 constexpr duration eviction_time = 10min;
@@ -138,8 +138,9 @@
     return targets;
 }
 
-// News of a VM spreads like a rumour: the number of VMs that have it grows by
-// the share of the fleet that the hints of one second contain.
+// The number of VMs that have received a VM's last heartbeat, directly or by
+// hints, grows exponentially; its rate is the share of the fleet that the hints
+// of one second contain.
 duration member_directory::live_timeout() const
 {
     const auto vms = static_cast<double>(m_heard.size() + 1);
--- a/src/systems/queries/extra_send_budget.hpp
+++ b/src/systems/queries/extra_send_budget.hpp
@@ -29,7 +29,7 @@
 
     /** Sets a fixed capacity in hundredths of a send; at least one send. */
     void set_capacity(std::uint64_t hundredths);
-    /** Multiplies the credit by previous / now, up to the capacity. */
+    /** Multiplies the credit by previous / now. */
     void rescale(std::uint32_t previous, std::uint32_t now);
     /** Adds hundredths of a send, up to the capacity. */
     void add_credit(std::uint64_t hundredths);
