A VM holds a slice of a rate only once it knows the whole fleet

Change: holding a slice needs every VM of the reported fleet, as before; being ready, asking for tokens and choosing a reader need 0.95 of it. The fields of member hints on the wire keep their names and are still read, so that VMs of an earlier version can tell theirs; packed ones have a field of their own. Tests: a_fleet_that_starts_at_once_has_no_more_holders_than_wanted (failed before), a_settled_fleet_agrees_on_holders now counts holders, where it looked at the first place of the ranking only; hints_of_an_earlier_version_are_read.

--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -32,7 +32,7 @@
 constexpr std::size_t max_member_hints = 80;
 /**
  * Share of the reported fleet that a VM knows once it is settled. The last few
- * VMs take the longest to discover, and change the order of few workspaces.
+ * VMs take the longest to discover, and are not needed to serve callers.
  */
 constexpr double settled_share = 0.95;
 
@@ -206,17 +206,27 @@
 }
 
 bool member_directory::settled(time_point now) const
+{
+    return has_discovered(settled_share, now);
+}
+
+bool member_directory::knows_all(time_point now) const
+{
+    return has_discovered(1.0, now);
+}
+
+bool member_directory::has_discovered(double share, time_point now) const
 {
     if (is_alone()) {
         return true;
     }
     const duration age = now - m_started;
-    const bool most_known = static_cast<double>(m_heard.size() + 1) >=
-                            settled_share * m_reported_size;
+    const auto known = static_cast<double>(m_heard.size() + 1);
+    const bool enough_known = known >= share * m_reported_size;
     const bool had_settling_time =
         m_settled_peer_seen || age >= min_settling_time;
     return !m_heard.empty() &&
-           ((most_known && had_settling_time) || age >= max_settling_time);
+           ((enough_known && had_settling_time) || age >= max_settling_time);
 }
 
 /** Returns whether no other VM can be in the fleet. */
--- a/src/systems/members/member_directory.hpp
+++ b/src/systems/members/member_directory.hpp
@@ -72,6 +72,11 @@
     }
     /** Returns whether discovery of the fleet has had time to complete. */
     bool settled(time_point now) const;
+    /**
+     * Returns whether every VM of the reported fleet is known, or was given the
+     * time to be. A VM that knows only a part of the fleet ranks too high.
+     */
+    bool knows_all(time_point now) const;
     /** Changes whenever a VM is added or evicted. */
     std::uint64_t version() const
     {
@@ -94,6 +99,7 @@
     duration live_timeout() const;
     void evict_silent(time_point now);
     void record_heard(const std::string& address, time_point at);
+    bool has_discovered(double share, time_point now) const;
     bool is_alone() const;
     void shuffle(std::vector<std::string>& addresses);
 
--- a/src/systems/rates/rate_slices.cpp
+++ b/src/systems/rates/rate_slices.cpp
@@ -213,7 +213,7 @@
 bool rate_slices::is_holder(workspace_id workspace, time_point now)
 {
     const workspace_entry* entry = find_limit(workspace);
-    return entry != nullptr && m_members.settled(now) &&
+    return entry != nullptr && m_members.knows_all(now) &&
            holders_of(*entry).self;
 }
 
@@ -265,7 +265,7 @@
 void rate_slices::refill(const workspace_entry& entry, slice& s, time_point now)
 {
     const holder_set& set = holders_of(entry);
-    if (!set.self || !m_members.settled(now)) {
+    if (!set.self || !m_members.knows_all(now)) {
         s.own.refill(0, 0, now);
         return;
     }
--- a/src/tests/gateway_peers_test.cpp
+++ b/src/tests/gateway_peers_test.cpp
@@ -15,6 +15,24 @@
            std::to_string(vm % 200 + 1) + ":7000";
 }
 
+constexpr std::uint64_t workspaces = 40;
+/** Holders of a workspace with a small rate. */
+constexpr std::size_t holders_wanted = 4;
+
+std::shared_ptr<const catalogue> limits()
+{
+    auto settings = std::make_shared<catalogue>();
+    for (std::uint64_t id = 1; id <= workspaces; ++id) {
+        workspace_entry entry;
+        entry.id = workspace_id(id);
+        entry.name = std::to_string(id);
+        entry.rate = 5.0;
+        entry.burst = 5.0;
+        settings->add_workspace(entry, {entry.name});
+    }
+    return settings;
+}
+
 /** One VM: its members, rates and exchange of datagrams. */
 struct peer_vm
 {
@@ -23,6 +41,7 @@
                   now),
           rates(members), peers(members, incarnation(self + 1), rates, now)
     {
+        rates.catalogue_changed(limits(), now);
     }
 
     member_directory members;
@@ -30,11 +49,13 @@
     gateway_peers peers;
 };
 
-/** VMs that start at once on a network that loses one datagram in twenty. */
+/** VMs that start at once on a network that loses one datagram in `loss`. */
 class peer_fleet
 {
 public:
-    explicit peer_fleet(std::size_t vms, std::uint64_t seed) : m_random(seed)
+    explicit peer_fleet(std::size_t vms, std::uint64_t seed,
+                        std::uint64_t loss = 20)
+        : m_random(seed), m_loss(loss)
     {
         for (std::size_t vm = 0; vm < vms; ++vm) {
             m_vms.push_back(std::make_unique<peer_vm>(vm, m_random, m_now));
@@ -73,16 +94,12 @@
         return static_cast<double>(m_vms[vm]->members.live(m_now).size() + 1) /
                static_cast<double>(m_vms.size());
     }
-    /** Returns how many VMs hold a part of a workspace's rate. */
-    std::size_t holders(workspace_id workspace) const
+    /** Returns how many VMs hold a slice of a workspace's rate. */
+    std::size_t holders(workspace_id workspace)
     {
         std::size_t count = 0;
         for (const auto& vm : m_vms) {
-            count += vm->members.settled(m_now) &&
-                             vm->members.ranked(workspace.value(), 4).front() ==
-                                 vm->members.self()
-                         ? 1
-                         : 0;
+            count += vm->rates.is_holder(workspace, m_now) ? 1 : 0;
         }
         return count;
     }
@@ -102,7 +119,7 @@
             }
             ++m_sent;
             const std::size_t to = number_of(sent->to);
-            if (to >= m_stopped_from || m_random.below(20) == 0) {
+            if (to >= m_stopped_from || m_random.below(m_loss) == 0) {
                 continue;
             }
             gateway_commands out;
@@ -121,6 +138,7 @@
     }
 
     seeded_random m_random;
+    std::uint64_t m_loss;
     time_point m_now{1h};
     std::vector<std::unique_ptr<peer_vm>> m_vms;
     std::size_t m_stopped_from = SIZE_MAX;
@@ -165,10 +183,28 @@
 
 TEST(gateway_peers, a_settled_fleet_agrees_on_holders)
 {
-    peer_fleet fleet(84, 7);
-    fleet.run(6s);
-    for (std::uint64_t workspace = 1; workspace <= 50; ++workspace) {
-        CHECK_EQUAL(1, fleet.holders(workspace_id(workspace)));
+    for (const std::size_t vms : {7U, 84U, 295U}) {
+        peer_fleet fleet(vms, vms);
+        fleet.run(6s);
+        for (std::uint64_t id = 1; id <= workspaces; ++id) {
+            CHECK_EQUAL(holders_wanted, fleet.holders(workspace_id(id)));
+        }
+    }
+}
+
+// A VM that knows a part of the fleet ranks itself too high. Were it to hold a
+// slice, the slices of a workspace would exceed its rate. Every second datagram
+// is lost.
+TEST(gateway_peers, a_fleet_that_starts_at_once_has_no_more_holders_than_wanted)
+{
+    for (const std::size_t vms : {84U, 295U}) {
+        peer_fleet fleet(vms, vms + 1, 2);
+        for (int step = 0; step < 60; ++step) {
+            fleet.run(100ms);
+            for (std::uint64_t id = 1; id <= workspaces; ++id) {
+                CHECK(fleet.holders(workspace_id(id)) <= holders_wanted);
+            }
+        }
     }
 }
 
--- a/src/tests/loop/gateway_codec_test.cpp
+++ b/src/tests/loop/gateway_codec_test.cpp
@@ -1,7 +1,9 @@
 #include <rapidcheck.h>
 
 #include "core/random_source.hpp"
+#include "wire/compact_buffer.hpp"
 #include "wire/gateway_codec.hpp"
+#include "wire/gen/gateway_types.h"
 #include "wire/packed_address.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -57,6 +59,23 @@
     CHECK(datagram.suspicions[0].term == duration(150ms));
 }
 
+TEST(gateway_codec, hints_of_an_earlier_version_are_read)
+{
+    wire::member_hint hint;
+    hint.address = "10.0.0.7:7000";
+    hint.age = duration(2s).count();
+    wire::gateway_datagram sent;
+    sent.fleet_size = 8;
+    sent.members.push_back(hint);
+    wire_detail::compact_writer writer;
+    writer.write(sent);
+    const auto read = decode_gateway_datagram(writer.bytes());
+    const auto& datagram = std::get<gateway_datagram>(read);
+    CHECK_EQUAL(1, datagram.members.size());
+    STRCMP_EQUAL("10.0.0.7:7000", datagram.members[0].address.c_str());
+    CHECK(datagram.members[0].age == duration(2s));
+}
+
 TEST(gateway_codec, a_heartbeat_with_the_most_hints_fits_a_packet)
 {
     constexpr std::size_t largest_payload = 1400;
--- a/src/wire/field_copy.hpp
+++ b/src/wire/field_copy.hpp
@@ -69,6 +69,11 @@
     {
         to = static_cast<std::int8_t>(from);
     }
+    /** Leaves out a list that is only read. */
+    template <class C, class W>
+    void append(const std::vector<C>& /*from*/, std::vector<W>& /*to*/)
+    {
+    }
     void address(const std::string& from, std::int64_t& to)
     {
         to = pack_address(from);
@@ -129,6 +134,14 @@
     {
         to = from;
     }
+    /** Adds a list that earlier versions write. */
+    template <class C, class W>
+    void append(std::vector<C>& to, const std::vector<W>& from)
+    {
+        std::vector<C> more;
+        (*this)(more, from);
+        to.insert(to.end(), more.begin(), more.end());
+    }
     void address(std::string& to, std::int64_t from)
     {
         to = unpack_address(from);
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -5,8 +5,13 @@
  */
 namespace cpp cranberrywood.wire
 
-/** An IPv4 address and port as one number, and an age in milliseconds. */
 struct member_hint {
+  1: string address
+  2: i64 age
+}
+
+/** A member hint: IPv4 address and port as one number, age in milliseconds. */
+struct packed_member {
   1: i64 address
   2: i32 age_ms
 }
@@ -33,11 +38,12 @@
   1: i64 process
   2: i32 fleet_size
   3: bool settled
-  // 4 held member hints with addresses as text.
+  // Read for VMs of earlier versions; packed_members is written instead.
+  4: list<member_hint> members
   5: list<token_ask> asks
   6: list<token_grant> grants
   7: list<server_suspicion> suspicions
-  8: list<member_hint> members
+  8: list<packed_member> packed_members
 }
 
 struct mirrored_item {
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -12,6 +12,14 @@
 template <class D>
 void copy_fields(D& copy, typename D::template core<member_hint> c,
                  typename D::template wired<wire::member_hint> w)
+{
+    copy(c.address, w.address);
+    copy(c.age, w.age);
+}
+
+template <class D>
+void copy_fields(D& copy, typename D::template core<member_hint> c,
+                 typename D::template wired<wire::packed_member> w)
 {
     copy.address(c.address, w.address);
     copy.milliseconds(c.age, w.age_ms);
@@ -51,7 +59,8 @@
     copy(c.process, w.process);
     copy(c.fleet_size, w.fleet_size);
     copy(c.settled, w.settled);
-    copy(c.members, w.members);
+    copy(c.members, w.packed_members);
+    copy.append(c.members, w.members);
     copy(c.asks, w.asks);
     copy(c.grants, w.grants);
     copy(c.suspicions, w.suspicions);
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -18,12 +18,12 @@
 }
 
 
-void member_hint::__set_address(const int64_t val) {
+void member_hint::__set_address(const std::string& val) {
   this->address = val;
 }
 
-void member_hint::__set_age_ms(const int32_t val) {
-  this->age_ms = val;
+void member_hint::__set_age(const int64_t val) {
+  this->age = val;
 }
 std::ostream& operator<<(std::ostream& out, const member_hint& obj)
 {
@@ -45,6 +45,118 @@
   using ::apache::thrift::protocol::TProtocolException;
 
 
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t member_hint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("member_hint");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(member_hint &a, member_hint &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+member_hint::member_hint(const member_hint& other0) {
+  address = other0.address;
+  age = other0.age;
+  __isset = other0.__isset;
+}
+member_hint& member_hint::operator=(const member_hint& other1) {
+  address = other1.address;
+  age = other1.age;
+  __isset = other1.__isset;
+  return *this;
+}
+void member_hint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "member_hint(";
+  out << "address=" << to_string(address);
+  out << ", " << "age=" << to_string(age);
+  out << ")";
+}
+
+
+packed_member::~packed_member() noexcept {
+}
+
+
+void packed_member::__set_address(const int64_t val) {
+  this->address = val;
+}
+
+void packed_member::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const packed_member& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t packed_member::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
   while (true)
   {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
@@ -81,10 +193,10 @@
   return xfer;
 }
 
-uint32_t member_hint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t packed_member::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("member_hint");
+  xfer += oprot->writeStructBegin("packed_member");
 
   xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->address);
@@ -99,27 +211,27 @@
   return xfer;
 }
 
-void swap(member_hint &a, member_hint &b) {
+void swap(packed_member &a, packed_member &b) {
   using ::std::swap;
   swap(a.address, b.address);
   swap(a.age_ms, b.age_ms);
   swap(a.__isset, b.__isset);
 }
 
-member_hint::member_hint(const member_hint& other0) noexcept {
-  address = other0.address;
-  age_ms = other0.age_ms;
-  __isset = other0.__isset;
+packed_member::packed_member(const packed_member& other2) noexcept {
+  address = other2.address;
+  age_ms = other2.age_ms;
+  __isset = other2.__isset;
 }
-member_hint& member_hint::operator=(const member_hint& other1) noexcept {
-  address = other1.address;
-  age_ms = other1.age_ms;
-  __isset = other1.__isset;
+packed_member& packed_member::operator=(const packed_member& other3) noexcept {
+  address = other3.address;
+  age_ms = other3.age_ms;
+  __isset = other3.__isset;
   return *this;
 }
-void member_hint::printTo(std::ostream& out) const {
+void packed_member::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "member_hint(";
+  out << "packed_member(";
   out << "address=" << to_string(address);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
@@ -235,17 +347,17 @@
   swap(a.__isset, b.__isset);
 }
 
-token_ask::token_ask(const token_ask& other2) noexcept {
-  ask = other2.ask;
-  workspace = other2.workspace;
-  tokens = other2.tokens;
-  __isset = other2.__isset;
+token_ask::token_ask(const token_ask& other4) noexcept {
+  ask = other4.ask;
+  workspace = other4.workspace;
+  tokens = other4.tokens;
+  __isset = other4.__isset;
 }
-token_ask& token_ask::operator=(const token_ask& other3) noexcept {
-  ask = other3.ask;
-  workspace = other3.workspace;
-  tokens = other3.tokens;
-  __isset = other3.__isset;
+token_ask& token_ask::operator=(const token_ask& other5) noexcept {
+  ask = other5.ask;
+  workspace = other5.workspace;
+  tokens = other5.tokens;
+  __isset = other5.__isset;
   return *this;
 }
 void token_ask::printTo(std::ostream& out) const {
@@ -384,19 +496,19 @@
   swap(a.__isset, b.__isset);
 }
 
-token_grant::token_grant(const token_grant& other4) noexcept {
-  ask = other4.ask;
-  workspace = other4.workspace;
-  tokens = other4.tokens;
-  term = other4.term;
-  __isset = other4.__isset;
+token_grant::token_grant(const token_grant& other6) noexcept {
+  ask = other6.ask;
+  workspace = other6.workspace;
+  tokens = other6.tokens;
+  term = other6.term;
+  __isset = other6.__isset;
 }
-token_grant& token_grant::operator=(const token_grant& other5) noexcept {
-  ask = other5.ask;
-  workspace = other5.workspace;
-  tokens = other5.tokens;
-  term = other5.term;
-  __isset = other5.__isset;
+token_grant& token_grant::operator=(const token_grant& other7) noexcept {
+  ask = other7.ask;
+  workspace = other7.workspace;
+  tokens = other7.tokens;
+  term = other7.term;
+  __isset = other7.__isset;
   return *this;
 }
 void token_grant::printTo(std::ostream& out) const {
@@ -502,15 +614,15 @@
   swap(a.__isset, b.__isset);
 }
 
-server_suspicion::server_suspicion(const server_suspicion& other6) noexcept {
-  server = other6.server;
-  term = other6.term;
-  __isset = other6.__isset;
+server_suspicion::server_suspicion(const server_suspicion& other8) noexcept {
+  server = other8.server;
+  term = other8.term;
+  __isset = other8.__isset;
 }
-server_suspicion& server_suspicion::operator=(const server_suspicion& other7) noexcept {
-  server = other7.server;
-  term = other7.term;
-  __isset = other7.__isset;
+server_suspicion& server_suspicion::operator=(const server_suspicion& other9) noexcept {
+  server = other9.server;
+  term = other9.term;
+  __isset = other9.__isset;
   return *this;
 }
 void server_suspicion::printTo(std::ostream& out) const {
@@ -538,6 +650,10 @@
   this->settled = val;
 }
 
+void gateway_datagram::__set_members(const std::vector<member_hint> & val) {
+  this->members = val;
+}
+
 void gateway_datagram::__set_asks(const std::vector<token_ask> & val) {
   this->asks = val;
 }
@@ -550,8 +666,8 @@
   this->suspicions = val;
 }
 
-void gateway_datagram::__set_members(const std::vector<member_hint> & val) {
-  this->members = val;
+void gateway_datagram::__set_packed_members(const std::vector<packed_member> & val) {
+  this->packed_members = val;
 }
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
 {
@@ -605,18 +721,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->members.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
+            {
+              xfer += this->members[_i14].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->asks.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size15;
+            ::apache::thrift::protocol::TType _etype18;
+            xfer += iprot->readListBegin(_etype18, _size15);
+            this->asks.resize(_size15);
+            uint32_t _i19;
+            for (_i19 = 0; _i19 < _size15; ++_i19)
             {
-              xfer += this->asks[_i12].read(iprot);
+              xfer += this->asks[_i19].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -629,14 +765,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->grants.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->grants.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->grants[_i17].read(iprot);
+              xfer += this->grants[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -649,14 +785,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->suspicions.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->suspicions.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->suspicions[_i22].read(iprot);
+              xfer += this->suspicions[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -668,19 +804,19 @@
       case 8:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->members.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->members.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            this->packed_members.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->packed_members.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->members[_i27].read(iprot);
+              xfer += this->packed_members[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.members = true;
+          this->__isset.packed_members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -714,13 +850,25 @@
   xfer += oprot->writeBool(this->settled);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<member_hint> ::const_iterator _iter35;
+    for (_iter35 = this->members.begin(); _iter35 != this->members.end(); ++_iter35)
+    {
+      xfer += (*_iter35).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<token_ask> ::const_iterator _iter28;
-    for (_iter28 = this->asks.begin(); _iter28 != this->asks.end(); ++_iter28)
+    std::vector<token_ask> ::const_iterator _iter36;
+    for (_iter36 = this->asks.begin(); _iter36 != this->asks.end(); ++_iter36)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter36).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -729,10 +877,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<token_grant> ::const_iterator _iter29;
-    for (_iter29 = this->grants.begin(); _iter29 != this->grants.end(); ++_iter29)
+    std::vector<token_grant> ::const_iterator _iter37;
+    for (_iter37 = this->grants.begin(); _iter37 != this->grants.end(); ++_iter37)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -741,22 +889,22 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<server_suspicion> ::const_iterator _iter30;
-    for (_iter30 = this->suspicions.begin(); _iter30 != this->suspicions.end(); ++_iter30)
+    std::vector<server_suspicion> ::const_iterator _iter38;
+    for (_iter38 = this->suspicions.begin(); _iter38 != this->suspicions.end(); ++_iter38)
     {
-      xfer += (*_iter30).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 8);
+  xfer += oprot->writeFieldBegin("packed_members", ::apache::thrift::protocol::T_LIST, 8);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<member_hint> ::const_iterator _iter31;
-    for (_iter31 = this->members.begin(); _iter31 != this->members.end(); ++_iter31)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packed_members.size()));
+    std::vector<packed_member> ::const_iterator _iter39;
+    for (_iter39 = this->packed_members.begin(); _iter39 != this->packed_members.end(); ++_iter39)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -772,32 +920,35 @@
   swap(a.process, b.process);
   swap(a.fleet_size, b.fleet_size);
   swap(a.settled, b.settled);
+  swap(a.members, b.members);
   swap(a.asks, b.asks);
   swap(a.grants, b.grants);
   swap(a.suspicions, b.suspicions);
-  swap(a.members, b.members);
+  swap(a.packed_members, b.packed_members);
   swap(a.__isset, b.__isset);
 }
 
-gateway_datagram::gateway_datagram(const gateway_datagram& other32) {
-  process = other32.process;
-  fleet_size = other32.fleet_size;
-  settled = other32.settled;
-  asks = other32.asks;
-  grants = other32.grants;
-  suspicions = other32.suspicions;
-  members = other32.members;
-  __isset = other32.__isset;
-}
-gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other33) {
-  process = other33.process;
-  fleet_size = other33.fleet_size;
-  settled = other33.settled;
-  asks = other33.asks;
-  grants = other33.grants;
-  suspicions = other33.suspicions;
-  members = other33.members;
-  __isset = other33.__isset;
+gateway_datagram::gateway_datagram(const gateway_datagram& other40) {
+  process = other40.process;
+  fleet_size = other40.fleet_size;
+  settled = other40.settled;
+  members = other40.members;
+  asks = other40.asks;
+  grants = other40.grants;
+  suspicions = other40.suspicions;
+  packed_members = other40.packed_members;
+  __isset = other40.__isset;
+}
+gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other41) {
+  process = other41.process;
+  fleet_size = other41.fleet_size;
+  settled = other41.settled;
+  members = other41.members;
+  asks = other41.asks;
+  grants = other41.grants;
+  suspicions = other41.suspicions;
+  packed_members = other41.packed_members;
+  __isset = other41.__isset;
   return *this;
 }
 void gateway_datagram::printTo(std::ostream& out) const {
@@ -806,10 +957,11 @@
   out << "process=" << to_string(process);
   out << ", " << "fleet_size=" << to_string(fleet_size);
   out << ", " << "settled=" << to_string(settled);
+  out << ", " << "members=" << to_string(members);
   out << ", " << "asks=" << to_string(asks);
   out << ", " << "grants=" << to_string(grants);
   out << ", " << "suspicions=" << to_string(suspicions);
-  out << ", " << "members=" << to_string(members);
+  out << ", " << "packed_members=" << to_string(packed_members);
   out << ")";
 }
 
@@ -940,19 +1092,19 @@
   swap(a.__isset, b.__isset);
 }
 
-mirrored_item::mirrored_item(const mirrored_item& other34) {
-  key = other34.key;
-  revision = other34.revision;
-  removed = other34.removed;
-  bytes = other34.bytes;
-  __isset = other34.__isset;
+mirrored_item::mirrored_item(const mirrored_item& other42) {
+  key = other42.key;
+  revision = other42.revision;
+  removed = other42.removed;
+  bytes = other42.bytes;
+  __isset = other42.__isset;
 }
-mirrored_item& mirrored_item::operator=(const mirrored_item& other35) {
-  key = other35.key;
-  revision = other35.revision;
-  removed = other35.removed;
-  bytes = other35.bytes;
-  __isset = other35.__isset;
+mirrored_item& mirrored_item::operator=(const mirrored_item& other43) {
+  key = other43.key;
+  revision = other43.revision;
+  removed = other43.removed;
+  bytes = other43.bytes;
+  __isset = other43.__isset;
   return *this;
 }
 void mirrored_item::printTo(std::ostream& out) const {
@@ -1061,14 +1213,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->items.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->items.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->items[_i40].read(iprot);
+              xfer += this->items[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1129,10 +1281,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<mirrored_item> ::const_iterator _iter41;
-    for (_iter41 = this->items.begin(); _iter41 != this->items.end(); ++_iter41)
+    std::vector<mirrored_item> ::const_iterator _iter49;
+    for (_iter49 = this->items.begin(); _iter49 != this->items.end(); ++_iter49)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1163,25 +1315,25 @@
   swap(a.__isset, b.__isset);
 }
 
-mirror_update::mirror_update(const mirror_update& other42) {
-  place = other42.place;
-  process = other42.process;
-  whole = other42.whole;
-  store_steady = other42.store_steady;
-  items = other42.items;
-  at = other42.at;
-  store_reachable = other42.store_reachable;
-  __isset = other42.__isset;
-}
-mirror_update& mirror_update::operator=(const mirror_update& other43) {
-  place = other43.place;
-  process = other43.process;
-  whole = other43.whole;
-  store_steady = other43.store_steady;
-  items = other43.items;
-  at = other43.at;
-  store_reachable = other43.store_reachable;
-  __isset = other43.__isset;
+mirror_update::mirror_update(const mirror_update& other50) {
+  place = other50.place;
+  process = other50.process;
+  whole = other50.whole;
+  store_steady = other50.store_steady;
+  items = other50.items;
+  at = other50.at;
+  store_reachable = other50.store_reachable;
+  __isset = other50.__isset;
+}
+mirror_update& mirror_update::operator=(const mirror_update& other51) {
+  place = other51.place;
+  process = other51.process;
+  whole = other51.whole;
+  store_steady = other51.store_steady;
+  items = other51.items;
+  at = other51.at;
+  store_reachable = other51.store_reachable;
+  __isset = other51.__isset;
   return *this;
 }
 void mirror_update::printTo(std::ostream& out) const {
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -23,6 +23,8 @@
 
 class member_hint;
 
+class packed_member;
+
 class token_ask;
 
 class token_grant;
@@ -36,39 +38,36 @@
 class mirror_update;
 
 typedef struct _member_hint__isset {
-  _member_hint__isset() : address(false), age_ms(false) {}
+  _member_hint__isset() : address(false), age(false) {}
   bool address :1;
-  bool age_ms :1;
+  bool age :1;
 } _member_hint__isset;
 
-/**
- * An IPv4 address and port as one number, and an age in milliseconds.
- */
 class member_hint : public virtual ::apache::thrift::TBase {
  public:
 
-  member_hint(const member_hint&) noexcept;
-  member_hint& operator=(const member_hint&) noexcept;
+  member_hint(const member_hint&);
+  member_hint& operator=(const member_hint&);
   member_hint() noexcept
-              : address(0),
-                age_ms(0) {
+              : address(),
+                age(0) {
   }
 
   virtual ~member_hint() noexcept;
-  int64_t address;
-  int32_t age_ms;
+  std::string address;
+  int64_t age;
 
   _member_hint__isset __isset;
 
-  void __set_address(const int64_t val);
+  void __set_address(const std::string& val);
 
-  void __set_age_ms(const int32_t val);
+  void __set_age(const int64_t val);
 
   bool operator == (const member_hint & rhs) const
   {
     if (!(address == rhs.address))
       return false;
-    if (!(age_ms == rhs.age_ms))
+    if (!(age == rhs.age))
       return false;
     return true;
   }
@@ -88,6 +87,59 @@
 
 std::ostream& operator<<(std::ostream& out, const member_hint& obj);
 
+typedef struct _packed_member__isset {
+  _packed_member__isset() : address(false), age_ms(false) {}
+  bool address :1;
+  bool age_ms :1;
+} _packed_member__isset;
+
+/**
+ * A member hint: IPv4 address and port as one number, age in milliseconds.
+ */
+class packed_member : public virtual ::apache::thrift::TBase {
+ public:
+
+  packed_member(const packed_member&) noexcept;
+  packed_member& operator=(const packed_member&) noexcept;
+  packed_member() noexcept
+                : address(0),
+                  age_ms(0) {
+  }
+
+  virtual ~packed_member() noexcept;
+  int64_t address;
+  int32_t age_ms;
+
+  _packed_member__isset __isset;
+
+  void __set_address(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const packed_member & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const packed_member &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const packed_member & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(packed_member &a, packed_member &b);
+
+std::ostream& operator<<(std::ostream& out, const packed_member& obj);
+
 typedef struct _token_ask__isset {
   _token_ask__isset() : ask(false), workspace(false), tokens(false) {}
   bool ask :1;
@@ -260,14 +312,15 @@
 std::ostream& operator<<(std::ostream& out, const server_suspicion& obj);
 
 typedef struct _gateway_datagram__isset {
-  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), asks(false), grants(false), suspicions(false), members(false) {}
+  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false) {}
   bool process :1;
   bool fleet_size :1;
   bool settled :1;
+  bool members :1;
   bool asks :1;
   bool grants :1;
   bool suspicions :1;
-  bool members :1;
+  bool packed_members :1;
 } _gateway_datagram__isset;
 
 class gateway_datagram : public virtual ::apache::thrift::TBase {
@@ -285,10 +338,11 @@
   int64_t process;
   int32_t fleet_size;
   bool settled;
+  std::vector<member_hint>  members;
   std::vector<token_ask>  asks;
   std::vector<token_grant>  grants;
   std::vector<server_suspicion>  suspicions;
-  std::vector<member_hint>  members;
+  std::vector<packed_member>  packed_members;
 
   _gateway_datagram__isset __isset;
 
@@ -298,13 +352,15 @@
 
   void __set_settled(const bool val);
 
+  void __set_members(const std::vector<member_hint> & val);
+
   void __set_asks(const std::vector<token_ask> & val);
 
   void __set_grants(const std::vector<token_grant> & val);
 
   void __set_suspicions(const std::vector<server_suspicion> & val);
 
-  void __set_members(const std::vector<member_hint> & val);
+  void __set_packed_members(const std::vector<packed_member> & val);
 
   bool operator == (const gateway_datagram & rhs) const
   {
@@ -314,13 +370,15 @@
       return false;
     if (!(settled == rhs.settled))
       return false;
+    if (!(members == rhs.members))
+      return false;
     if (!(asks == rhs.asks))
       return false;
     if (!(grants == rhs.grants))
       return false;
     if (!(suspicions == rhs.suspicions))
       return false;
-    if (!(members == rhs.members))
+    if (!(packed_members == rhs.packed_members))
       return false;
     return true;
   }
