role_leases_random_test: fix the order of two random draws

make_fault passed two draws as arguments of one call. The order in which arguments are evaluated is the compiler's: g++ takes them from right to left on x86-64 and from left to right on arm64, so the same seed gave another run there, and checker_detects_each_broken_rule did not reach its rule. The draws are now made one after the other, in the order of x86-64.

--- a/src/tests/role_leases_random_test.cpp
+++ b/src/tests/role_leases_random_test.cpp
@@ -86,8 +86,10 @@
     void make_fault()
     {
         switch (below(m_new_slots ? 10 : 9)) {
-        case 0:
-            return block_one_way(any_vm(), below(2) == 0);
+        case 0: {
+            const bool outgoing = below(2) == 0;
+            return block_one_way(any_vm(), outgoing);
+        }
         case 1:
             return partition();
         case 2:
