--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -149,8 +149,7 @@
         });
     }
     for (std::size_t i = 0; with_trouble() && now_s() < until; ++i) {
-        call(here.machines[i % 3]->ip(), "GET", fatal_target,
-             new_request_id());
+        call(here.machines[i % 3]->ip(), "GET", fatal_target, new_request_id());
         sleep_s(again_after_s);
     }
     for (std::thread& t : threads) {
--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -321,8 +321,7 @@
                     return false;
                 }
             }
-            const std::size_t size =
-                std::strtoull(m_kept.c_str(), nullptr, 16);
+            const std::size_t size = std::strtoull(m_kept.c_str(), nullptr, 16);
             while (m_kept.size() < end + 2 + size + 2) {
                 if (!more(until)) {
                     return false;
@@ -553,8 +552,9 @@
                 for (const auto& [revision, event] : events) {
                     text += (text.empty() ? "" : ",") + event;
                 }
-                return "{\"events\":[" + text + "],\"store_revision\":" +
-                       std::to_string(m_revision) + "}";
+                return "{\"events\":[" + text +
+                       "],\"store_revision\":" + std::to_string(m_revision) +
+                       "}";
             }
             m_changed.wait_until(
                 lock, std::chrono::time_point_cast<steady::duration>(until));
@@ -574,9 +574,9 @@
             if (target.rfind("/kv-range", 0) == 0) {
                 body = list(prefix, after);
             } else if (target.rfind("/kv-watch", 0) == 0) {
-                body = watch(prefix, std::strtoull(after.c_str(), nullptr, 10),
-                             std::atof(query(target, "wait_ms").c_str()) /
-                                 1000);
+                body =
+                    watch(prefix, std::strtoull(after.c_str(), nullptr, 10),
+                          std::atof(query(target, "wait_ms").c_str()) / 1000);
             } else {
                 s->write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
                 continue;
@@ -695,16 +695,16 @@
 private:
     void report()
     {
-        m_store.put("servers/" + m_who.id,
-                    "{\"service\":\"" + m_who.service + "\",\"address\":\"" +
-                        m_who.ip + ":" + std::to_string(m_who.port) +
-                        "\",\"zone\":\"" + m_who.zone +
-                        "\",\"version\":\"v1\",\"max_concurrency\":" +
-                        std::to_string(m_who.slots) +
-                        ",\"state\":\"ready\",\"cold_remaining_ms\":" +
-                        std::to_string(static_cast<long>(cold_left_s() * 1000)) +
-                        ",\"born\":" + std::to_string(m_born) +
-                        ",\"sequence\":" + std::to_string(++m_sequence) + "}");
+        m_store.put(
+            "servers/" + m_who.id,
+            "{\"service\":\"" + m_who.service + "\",\"address\":\"" + m_who.ip +
+                ":" + std::to_string(m_who.port) + "\",\"zone\":\"" +
+                m_who.zone + "\",\"version\":\"v1\",\"max_concurrency\":" +
+                std::to_string(m_who.slots) +
+                ",\"state\":\"ready\",\"cold_remaining_ms\":" +
+                std::to_string(static_cast<long>(cold_left_s() * 1000)) +
+                ",\"born\":" + std::to_string(m_born) +
+                ",\"sequence\":" + std::to_string(++m_sequence) + "}");
     }
     void serve(const std::shared_ptr<stream>& s)
     {
@@ -757,7 +757,8 @@
     }
     while ((at = text.find("{{")) != std::string::npos) {
         const std::size_t end = text.find("}}", at);
-        text.replace(at, end + 2 - at, value(text.substr(at + 2, end - at - 2)));
+        text.replace(at, end + 2 - at,
+                     value(text.substr(at + 2, end - at - 2)));
     }
     return text;
 }
@@ -807,9 +808,8 @@
     void start(bool first_start)
     {
         const std::string settings = m_in.folder + "/" + m_name + ".ini";
-        std::ofstream(settings)
-            << render(read_file(m_in.root + "/deploy/vm.ini"),
-                      values(first_start));
+        std::ofstream(settings) << render(
+            read_file(m_in.root + "/deploy/vm.ini"), values(first_start));
         const std::string log = m_in.folder + "/" + m_name + ".log";
         const std::string program =
             m_in.root + "/target/platform/cranberrywood-platformd";
@@ -818,9 +818,8 @@
         char* const variables[] = {const_cast<char*>("PATH=/usr/bin:/bin"),
                                    const_cast<char*>("LANG=C.UTF-8"),
                                    const_cast<char*>(config.c_str()), nullptr};
-        const int output = ::open(log.c_str(),
-                                  O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-                                  0644);
+        const int output = ::open(
+            log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         m_pid = ::fork();
         if (m_pid == 0) {
             // It ends with the case, however that ends.
@@ -1025,7 +1024,8 @@
 {
     record().line("the case could not run: " + why);
     std::fprintf(stderr, "the case could not run: %s\n", why.c_str());
-    std::exit(2);
+    // Threads still run, so nothing is destroyed; machines end with us.
+    ::_exit(2);
 }
 
 /** Returns whether the disruption is to be made. */
