--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -1,5 +1,8 @@
 #include "core/call_sender.hpp"
 
+#include "core/log_codes.hpp"
+#include "core/request_log.hpp"
+
 #include <algorithm>
 
 namespace cranberrywood {
@@ -28,6 +31,18 @@
 /** Share of the connections in use; the rest covers overlaps at closing. */
 constexpr double usable_connection_share = 0.95;
 
+void log_lost_send(const exchange_row& row, const std::string& server,
+                   exchange_fault fault, time_point now, gateway_commands& out)
+{
+    out.push_back(
+        gateway_log{static_cast<std::uint32_t>(log_code::send_lost),
+                    "request=" + row.outbound->id +
+                        " fingerprint=" + std::to_string(row.print.value()) +
+                        " server=" + server + " fault=" + name_of(fault) +
+                        " age_ms=" + milliseconds_text(now - row.sent_at) +
+                        " abandoned=" + (row.abandoned ? "yes" : "no")});
+}
+
 } // namespace
 
 call_sender::call_sender(const gateway_settings& settings,
@@ -85,6 +100,8 @@
     const server_row& row = *m_servers.find(server);
     const exchange_id exchange(++m_last_exchange);
     m_exchanges[exchange] = {{request.token, call},
+                             request.outbound,
+                             request.print,
                              server,
                              c.service,
                              id_of<route_id>(request.terms->name),
@@ -143,6 +160,11 @@
                                   gateway_commands& out)
 {
     const auto* failure = std::get_if<exchange_failure>(&ended.result);
+    if (failure != nullptr) {
+        const server_row* server = m_servers.find(row.server);
+        log_lost_send(row, server == nullptr ? "gone" : server->entry.name,
+                      failure->fault, now, out);
+    }
     if (failure != nullptr &&
         failure->fault == exchange_fault::kept_connection_lost) {
         m_observer.answered(row.server, ended.exchange, false, now);
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -38,6 +38,8 @@
 struct exchange_row
 {
     call_ref call;
+    std::shared_ptr<const outbound_request> outbound;
+    fingerprint print;
     backend_server_id server;
     service_id service;
     route_id route;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -339,7 +339,7 @@
         });
     send->open = false;
     if (const auto* failure = std::get_if<exchange_failure>(&ended.result)) {
-        send->unsent = failure->fault == exchange_fault::not_connected;
+        send->unsent = nothing_written(failure->fault);
         send->not_run = send->unsent;
         retry_call(request, call, now, out);
         return;
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -69,6 +69,9 @@
         request->workspace_name = workspace->name;
         request->priority = workspace->priority.value_or(request->priority);
     }
+    request->print = fingerprint_of(
+        request->workspace, {asked.host, asked.outbound->method,
+                             asked.outbound->target, asked.outbound->body});
     request->calls = calls_for(*terms);
     if (const auto wait = excess_wait(*request, now)) {
         return refused_answer{refusal_reason::overloaded,
--- a/src/core/gateway_messages.cpp
+++ b/src/core/gateway_messages.cpp
@@ -36,11 +36,19 @@
     return "unknown";
 }
 
+bool nothing_written(exchange_fault fault)
+{
+    return fault == exchange_fault::not_connected ||
+           fault == exchange_fault::connection_refused;
+}
+
 const char* name_of(exchange_fault fault)
 {
     switch (fault) {
     case exchange_fault::not_connected:
         return "not_connected";
+    case exchange_fault::connection_refused:
+        return "connection_refused";
     case exchange_fault::kept_connection_lost:
         return "kept_connection_lost";
     case exchange_fault::connection_lost:
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -90,6 +90,8 @@
 {
     /** The connection could not be set up; nothing was written. */
     not_connected,
+    /** No process listens at the address; nothing was written. */
+    connection_refused,
     /** The connection was lost after at least a part was written. */
     connection_lost,
     /** A reused idle connection was lost before any answer arrived. */
@@ -103,6 +105,9 @@
     exchange_fault fault = exchange_fault::connection_lost;
 };
 
+/** Returns whether a fault proves that nothing reached the server. */
+bool nothing_written(exchange_fault fault);
+
 /** An exchange ended. */
 struct exchange_ended
 {
--- a/src/loop/backend_connection.cpp
+++ b/src/loop/backend_connection.cpp
@@ -64,7 +64,9 @@
                 return;
             }
             if (connect_error) {
-                self->fail(exchange_fault::not_connected);
+                self->fail(connect_error == asio::error::connection_refused
+                               ? exchange_fault::connection_refused
+                               : exchange_fault::not_connected);
             } else {
                 self->connected();
             }
--- a/src/tables/open_request.hpp
+++ b/src/tables/open_request.hpp
@@ -96,6 +96,8 @@
 {
     caller_token token;
     std::shared_ptr<const outbound_request> outbound;
+    /** Equal for all attempts of one request by one workspace. */
+    fingerprint print;
     std::shared_ptr<const route> terms;
     workspace_id workspace;
     std::string workspace_name;
--- a/src/tests/loop/backend_links_test.cpp
+++ b/src/tests/loop/backend_links_test.cpp
@@ -201,12 +201,12 @@
     CHECK_EQUAL(0, links->idle_connections());
 }
 
-TEST(backend_links, a_port_without_a_listener_is_told_as_not_connected)
+TEST(backend_links, a_port_without_a_listener_is_told_as_refused)
 {
     server->close();
     start("a");
     await_end(1);
-    CHECK(handler.faults[0] == exchange_fault::not_connected);
+    CHECK(handler.faults[0] == exchange_fault::connection_refused);
 }
 
 TEST(backend_links, a_reset_is_told_as_a_lost_connection)
--- a/src/units/ids.cpp
+++ b/src/units/ids.cpp
@@ -40,4 +40,15 @@
     return fingerprint(stable_hash(body, scope));
 }
 
+fingerprint fingerprint_of(workspace_id workspace,
+                           const request_content& content)
+{
+    std::uint64_t hash = workspace.value();
+    for (const std::string_view part :
+         {content.host, content.method, content.target, content.body}) {
+        hash = stable_hash(part, hash);
+    }
+    return fingerprint(hash);
+}
+
 } // namespace cranberrywood
--- a/src/units/ids.hpp
+++ b/src/units/ids.hpp
@@ -37,6 +37,15 @@
 
 /** Hash of workspace, service and body; equal for identical requests. */
 using fingerprint = strong_value<struct fingerprint_tag, std::uint64_t>;
+/** What makes two requests of one workspace equal, apart from their ids. */
+struct request_content
+{
+    std::string_view host;
+    std::string_view method;
+    std::string_view target;
+    std::string_view body;
+};
+
 /** Handle of a waiting caller, assigned by this process's front end. */
 using caller_token = strong_value<struct caller_token_tag, std::uint64_t>;
 
@@ -113,6 +122,10 @@
 fingerprint fingerprint_of(workspace_id workspace, service_id service,
                            std::string_view body);
 
+/** Returns the fingerprint of a request that is forwarded as it came. */
+fingerprint fingerprint_of(workspace_id workspace,
+                           const request_content& content);
+
 } // namespace cranberrywood
 
 template <class Tag>
