--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log_codes.hpp"
 #include "core/request_log.hpp"
+#include "systems/queries/held_calls.hpp"
 #include "systems/queries/request_answer.hpp"
 
 #include <algorithm>
@@ -39,8 +40,10 @@
       m_directory(m_servers), m_suspicions(m_servers),
       m_choice(m_servers, random),
       m_sender(settings, m_servers, m_choice, m_suspicions),
-      m_admission(m_rates, m_waiting, random),
-      m_peers(m_members, incarnation(random.next() | 1U), m_rates, now)
+      m_crash_watch(m_servers, m_quarantine),
+      m_admission(m_rates, m_waiting, m_quarantine, random),
+      m_peers(m_members, incarnation(random.next() | 1U), m_rates, m_quarantine,
+              now)
 {
 }
 
@@ -48,7 +51,7 @@
 {
     gateway_commands out;
     std::visit([&](const auto& e) { on(e, now, out); }, event);
-    broadcast_suspicions(now, out);
+    broadcast_news(now, out);
     return out;
 }
 
@@ -59,6 +62,7 @@
         review(*token, now, out);
     }
     m_sender.cancel_overdue(now, out);
+    m_crash_watch.tick(now, out);
     m_peers.tick(now, out);
     if (now >= m_next_token_review) {
         review_token_waiters(now, out);
@@ -67,18 +71,21 @@
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
         m_directory.drop_unlisted(now);
+        m_quarantine.drop_expired(now);
         serve_all_waiting(now, out);
     }
-    broadcast_suspicions(now, out);
+    broadcast_news(now, out);
     return out;
 }
 
 std::optional<time_point> gateway::next_wakeup() const
 {
     std::optional<time_point> next = m_due.next_due();
-    const auto overdue = m_sender.next_overdue();
-    if (overdue && (!next || *overdue < *next)) {
-        next = overdue;
+    for (const auto& other :
+         {m_sender.next_overdue(), m_crash_watch.next_wakeup()}) {
+        if (other && (!next || *other < *next)) {
+            next = other;
+        }
     }
     const time_point regular =
         std::min({m_next_sweep, m_peers.next_wakeup(), m_next_token_review});
@@ -124,7 +131,11 @@
             (workspace == nullptr ? "0" : std::to_string(workspace->rate)) +
             " retry_after_ms=" +
             milliseconds_text(answer.retry_after.value_or(duration(0))) +
-            " revision=" + std::to_string(version),
+            " revision=" + std::to_string(version) + " fingerprint=" +
+            std::to_string(fingerprint_of(workspace == nullptr ? workspace_id()
+                                                               : workspace->id,
+                                          asked)
+                               .value()),
         out);
     out.push_back(answer_to_caller{asked.token, answer});
 }
@@ -192,9 +203,16 @@
     auto& slot = m_requests[token];
     slot = std::move(row);
     open_request& request = *slot;
+    if (request.suspect) {
+        hold_all_but_one(request, [&](service_id service) {
+            return m_quarantine.has_crashed(request.print, service);
+        });
+    }
     for (std::uint32_t call = 0; call < request.calls.size(); ++call) {
         m_sender.count_request(request.calls[call].service);
-        start_call(request, call, send_purpose::first, now, out);
+        if (!request.calls[call].held) {
+            start_call(request, call, send_purpose::first, now, out);
+        }
     }
     review(token, now, out);
 }
@@ -226,9 +244,11 @@
         return;
     }
     m_waiting.record_completion(row->service, now);
+    m_crash_watch.exchange_ended(*row, ended, now, out);
     open_request* request = row->abandoned ? nullptr : find(row->call.request);
     if (request != nullptr) {
         apply_result(*request, row->call.call, ended, now, out);
+        review_held_calls(*request, now, out);
         if (!finish_if_decided(*request, now, out)) {
             schedule_review(*request, now);
         }
@@ -236,6 +256,12 @@
     serve_waiting(row->service, now, out);
 }
 
+void gateway::on(const server_probed& probed, time_point now,
+                 gateway_commands& out)
+{
+    m_crash_watch.server_probed(probed, now, out);
+}
+
 void gateway::on(const catalogue_read& read, time_point now,
                  gateway_commands& out)
 {
@@ -252,7 +278,10 @@
 void gateway::on(const servers_reported& report, time_point now,
                  gateway_commands& out)
 {
-    m_directory.reported(report, now, out);
+    for (const backend_server_id server :
+         m_directory.reported(report, now, out)) {
+        m_crash_watch.server_started(server, now, out);
+    }
     serve_all_waiting(now, out);
 }
 
@@ -281,6 +310,8 @@
     m_peers.received(datagram, now, out);
     m_suspicions.apply_remote(datagram.from, datagram.datagram.suspicions, now,
                               out);
+    m_quarantine.apply_remote(datagram.from, datagram.datagram.crashes,
+                              datagram.datagram.clearances, now, out);
     update_fleet_size(now, out);
     for (const token_grant& grant : datagram.datagram.grants) {
         serve_token_waiters(grant.workspace, now, out);
@@ -306,6 +337,14 @@
                          gateway_commands& out)
 {
     service_call& c = request.calls[call];
+    if (m_quarantine.refused_for(request.print, now)) {
+        c.state = c.has_open_send() ? c.state : call_state::failed;
+        return;
+    }
+    if (purpose == send_purpose::hedge &&
+        m_quarantine.is_suspect(request.print)) {
+        return;
+    }
     switch (m_sender.send(request, call, purpose, now, out)) {
     case send_outcome::sent:
         return;
@@ -341,6 +380,8 @@
     if (const auto* failure = std::get_if<exchange_failure>(&ended.result)) {
         send->unsent = nothing_written(failure->fault);
         send->not_run = send->unsent;
+        send->lost = failure->fault == exchange_fault::connection_lost ||
+                     failure->fault == exchange_fault::kept_connection_lost;
         retry_call(request, call, now, out);
         return;
     }
@@ -378,13 +419,46 @@
                          c.counted_sends() < request.terms->max_sends &&
                          c.sends.size() < max_attempts &&
                          now < request.deadline;
-    if (!allowed) {
+    if (!allowed || (request.suspect && c.lost_sends() > 0)) {
         c.state = call_state::failed;
         return;
     }
+    if (must_hold_retry(request, call)) {
+        c.state = call_state::waiting;
+        c.held = true;
+        return;
+    }
     start_call(request, call, send_purpose::retry, now, out);
 }
 
+void gateway::review_held_calls(open_request& request, time_point now,
+                                gateway_commands& out)
+{
+    const bool suspect =
+        request.suspect && m_quarantine.is_suspect(request.print);
+    const held_decision decision = decide_held(request, suspect);
+    if (decision == held_decision::wait) {
+        return;
+    }
+    for (std::uint32_t call = 0; call < request.calls.size(); ++call) {
+        service_call& c = request.calls[call];
+        if (!c.held) {
+            continue;
+        }
+        c.held = false;
+        if (decision == held_decision::fail) {
+            c.state = call_state::failed;
+            continue;
+        }
+        start_call(request, call,
+                   c.sends.empty() ? send_purpose::first : send_purpose::retry,
+                   now, out);
+        if (decision == held_decision::release_one) {
+            return;
+        }
+    }
+}
+
 void gateway::serve_waiting(service_id service, time_point now,
                             gateway_commands& out)
 {
@@ -448,11 +522,15 @@
     m_due.schedule(request.token, std::max(next, now + min_review_interval));
 }
 
-void gateway::broadcast_suspicions(time_point now, gateway_commands& out)
+void gateway::broadcast_news(time_point now, gateway_commands& out)
 {
-    const auto news = m_suspicions.take_local_suspicions();
-    if (!news.empty()) {
-        m_peers.broadcast_suspicions(news, now, out);
+    gateway_datagram news;
+    news.suspicions = m_suspicions.take_local_suspicions();
+    news.crashes = m_quarantine.take_reports(now);
+    news.clearances = m_quarantine.take_clearances(now);
+    if (!news.suspicions.empty() || !news.crashes.empty() ||
+        !news.clearances.empty()) {
+        m_peers.broadcast(std::move(news), now, out);
     }
 }
 
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_CORE_GATEWAY_HPP
 
 #include "core/call_sender.hpp"
+#include "core/crash_watch.hpp"
 #include "core/gateway_admission.hpp"
 #include "core/gateway_messages.hpp"
 #include "core/gateway_peers.hpp"
@@ -63,6 +64,7 @@
     void on(const caller_disconnected& left, time_point now,
             gateway_commands& out);
     void on(const exchange_ended& ended, time_point now, gateway_commands& out);
+    void on(const server_probed& probed, time_point now, gateway_commands& out);
     void on(const catalogue_read& read, time_point now, gateway_commands& out);
     void on(const servers_reported& report, time_point now,
             gateway_commands& out);
@@ -97,6 +99,9 @@
                       gateway_commands& out);
     void retry_call(open_request& request, std::uint32_t call, time_point now,
                     gateway_commands& out);
+    /** Starts or ends the held calls of a request, if that is decided. */
+    void review_held_calls(open_request& request, time_point now,
+                           gateway_commands& out);
     void serve_waiting(service_id service, time_point now,
                        gateway_commands& out);
     void serve_all_waiting(time_point now, gateway_commands& out);
@@ -106,7 +111,7 @@
     void review_stragglers(open_request& request, time_point now,
                            gateway_commands& out);
     void schedule_review(const open_request& request, time_point now);
-    void broadcast_suspicions(time_point now, gateway_commands& out);
+    void broadcast_news(time_point now, gateway_commands& out);
     bool finish_if_decided(open_request& request, time_point now,
                            gateway_commands& out);
     void finish(open_request& request, gateway_answer answer, time_point now,
@@ -121,8 +126,10 @@
     server_suspicions m_suspicions;
     server_choice m_choice;
     waiting_calls m_waiting;
+    crash_quarantine m_quarantine;
 
     call_sender m_sender;
+    crash_watch m_crash_watch;
     gateway_admission m_admission;
     gateway_peers m_peers;
     std::uint32_t m_fleet_size = 0;
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -26,9 +26,19 @@
 
 } // namespace
 
+fingerprint fingerprint_of(workspace_id workspace,
+                           const request_received& asked)
+{
+    return fingerprint_of(workspace,
+                          {asked.host, asked.outbound->method,
+                           asked.outbound->target, asked.outbound->body});
+}
+
 gateway_admission::gateway_admission(rate_slices& rates, waiting_calls& waiting,
+                                     const crash_quarantine& quarantine,
                                      random_source& random)
-    : m_rates(rates), m_waiting(waiting), m_random(random)
+    : m_rates(rates), m_waiting(waiting), m_quarantine(quarantine),
+      m_random(random)
 {
 }
 
@@ -69,9 +79,11 @@
         request->workspace_name = workspace->name;
         request->priority = workspace->priority.value_or(request->priority);
     }
-    request->print = fingerprint_of(
-        request->workspace, {asked.host, asked.outbound->method,
-                             asked.outbound->target, asked.outbound->body});
+    request->print = fingerprint_of(request->workspace, asked);
+    request->suspect = m_quarantine.is_suspect(request->print);
+    if (const auto term = m_quarantine.refused_for(request->print, now)) {
+        return refused_answer{refusal_reason::crashes_servers, *term};
+    }
     request->calls = calls_for(*terms);
     if (const auto wait = excess_wait(*request, now)) {
         return refused_answer{refusal_reason::overloaded,
--- a/src/core/gateway_admission.hpp
+++ b/src/core/gateway_admission.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_CORE_GATEWAY_ADMISSION_HPP
 
 #include "core/random_source.hpp"
+#include "systems/queries/crash_quarantine.hpp"
 #include "systems/queries/waiting_calls.hpp"
 #include "systems/rates/rate_slices.hpp"
 
@@ -18,14 +19,20 @@
 using admission_result =
     std::variant<std::unique_ptr<open_request>, refused_answer, token_needed>;
 
+/** Returns the fingerprint of a workspace's request. */
+fingerprint fingerprint_of(workspace_id workspace,
+                           const request_received& asked);
+
 /**
  * Decides whether a caller's request is admitted: checks its route, key and
- * rate, and whether its services are expected to serve it in time.
+ * rate, whether servers crashed under it, and whether its services are expected
+ * to serve it in time.
  */
 class gateway_admission
 {
 public:
     gateway_admission(rate_slices& rates, waiting_calls& waiting,
+                      const crash_quarantine& quarantine,
                       random_source& random);
 
     void catalogue_changed(std::shared_ptr<const catalogue> settings);
@@ -40,6 +47,7 @@
 
     rate_slices& m_rates;
     waiting_calls& m_waiting;
+    const crash_quarantine& m_quarantine;
     random_source& m_random;
     std::shared_ptr<const catalogue> m_settings;
 };
--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -46,6 +46,29 @@
     duration term{0};
 };
 
+/** Reports that a backend server crashed while it had a request. */
+struct crash_report
+{
+    fingerprint print;
+    backend_server_id server;
+    service_id service;
+    /** Time since the request was sent to the server. */
+    duration sent_age{0};
+    /** Time since the server crashed. */
+    duration lost_age{0};
+    /** Number of the strike that it is to the sender. */
+    std::uint32_t strike = 0;
+};
+
+/** Reports that a service completed a request that was suspect. */
+struct crash_clearance
+{
+    fingerprint print;
+    service_id service;
+    /** Time since the request was sent. */
+    duration sent_age{0};
+};
+
 /** One datagram between two gateways. */
 struct gateway_datagram
 {
@@ -58,6 +81,8 @@
     std::vector<token_ask> asks;
     std::vector<token_grant> grants;
     std::vector<server_suspicion> suspicions;
+    std::vector<crash_report> crashes;
+    std::vector<crash_clearance> clearances;
 
     bool is_heartbeat() const
     {
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -115,6 +115,24 @@
     std::variant<backend_answer, exchange_failure> result;
 };
 
+/** What became of an attempt to connect to a backend server. */
+enum class probe_result : std::uint8_t
+{
+    /** The connection is open and is kept for the next exchange. */
+    accepted,
+    /** No process listens at the address. */
+    refused,
+    /** There was no answer in time. */
+    unreachable,
+};
+
+/** A probe of a backend server ended. */
+struct server_probed
+{
+    backend_server_id server;
+    probe_result result = probe_result::unreachable;
+};
+
 /** A version of the operator's configuration was read. */
 struct catalogue_read
 {
@@ -156,8 +174,8 @@
 
 using gateway_event =
     std::variant<request_received, caller_disconnected, exchange_ended,
-                 catalogue_read, servers_reported, server_unlisted,
-                 evacuations_read, store_reachability_changed,
+                 server_probed, catalogue_read, servers_reported,
+                 server_unlisted, evacuations_read, store_reachability_changed,
                  datagram_received>;
 
 /** Send a request to a backend server. */
@@ -182,6 +200,13 @@
     exchange_id exchange;
 };
 
+/** Open a connection to a backend server, to see whether its process runs. */
+struct probe_server
+{
+    backend_server_id server;
+    endpoint address;
+};
+
 /** Forwards a backend server's answer unchanged. */
 struct relayed_answer
 {
@@ -254,8 +279,8 @@
 };
 
 using gateway_command =
-    std::variant<start_exchange, cancel_exchange, answer_to_caller,
-                 send_datagram, gateway_log>;
+    std::variant<start_exchange, cancel_exchange, probe_server,
+                 answer_to_caller, send_datagram, gateway_log>;
 
 /** Commands in the order in which they are to be carried out. */
 using gateway_commands = std::vector<gateway_command>;
--- a/src/core/gateway_peers.cpp
+++ b/src/core/gateway_peers.cpp
@@ -15,19 +15,20 @@
 /** Interval at which available tokens are compared with demand. */
 constexpr duration ask_interval = 200ms;
 /**
- * Rate and burst of datagrams that carry suspicions. At 80 bytes each, the rate
+ * Rate and burst of datagrams that carry news. At 80 bytes each, the rate
  * stays below 9 KB/s, the limit on control traffic of a VM.
  */
-constexpr std::uint64_t suspicion_datagrams_per_second = 100;
-constexpr std::uint64_t suspicion_datagram_burst = 150;
+constexpr std::uint64_t news_datagrams_per_second = 100;
+constexpr std::uint64_t news_datagram_burst = 150;
 
 } // namespace
 
 gateway_peers::gateway_peers(member_directory& members, incarnation process,
-                             rate_slices& rates, time_point now)
-    : m_process(process), m_rates(rates), m_members(members),
-      m_next_heartbeat(now), m_next_asks(now + ask_interval),
-      m_suspicion_budget(now)
+                             rate_slices& rates, crash_quarantine& quarantine,
+                             time_point now)
+    : m_process(process), m_rates(rates), m_quarantine(quarantine),
+      m_members(members), m_next_heartbeat(now),
+      m_next_asks(now + ask_interval), m_news_budget(now)
 {
 }
 
@@ -77,6 +78,8 @@
     datagram.process = m_process;
     m_members.fill(datagram, now);
     m_members.add_hints(datagram, now);
+    datagram.crashes = m_quarantine.reports_to_repeat(now);
+    datagram.clearances = m_quarantine.clearances_to_repeat(now);
     return datagram;
 }
 
@@ -89,23 +92,19 @@
 
 // If the limit does not allow a datagram to every live VM, the recipients are
 // chosen at random each time.
-void gateway_peers::broadcast_suspicions(
-    const std::vector<server_suspicion>& suspicions, time_point now,
-    gateway_commands& out)
+void gateway_peers::broadcast(gateway_datagram news, time_point now,
+                              gateway_commands& out)
 {
-    m_suspicion_budget.refill(
-        suspicion_datagrams_per_second * tokens_per_request,
-        suspicion_datagram_burst * tokens_per_request, now);
-    gateway_datagram datagram;
-    m_members.fill(datagram, now);
-    datagram.process = m_process;
-    datagram.suspicions = suspicions;
+    m_news_budget.refill(news_datagrams_per_second * tokens_per_request,
+                         news_datagram_burst * tokens_per_request, now);
+    m_members.fill(news, now);
+    news.process = m_process;
     for (const std::string& to : m_members.live(now)) {
-        if (m_suspicion_budget.tokens() < tokens_per_request) {
+        if (m_news_budget.tokens() < tokens_per_request) {
             return;
         }
-        m_suspicion_budget.take(tokens_per_request);
-        out.push_back(send_datagram{to, datagram});
+        m_news_budget.take(tokens_per_request);
+        out.push_back(send_datagram{to, news});
     }
 }
 
--- a/src/core/gateway_peers.hpp
+++ b/src/core/gateway_peers.hpp
@@ -3,27 +3,29 @@
 
 #include "core/gateway_messages.hpp"
 #include "systems/members/member_directory.hpp"
+#include "systems/queries/crash_quarantine.hpp"
 #include "systems/rates/rate_slices.hpp"
 
 namespace cranberrywood {
 
 /**
- * Exchanges datagrams with other gateways: heartbeats, token loans and
- * suspicions of backend servers.
+ * Exchanges datagrams with other gateways: heartbeats, token loans and news of
+ * backend servers and of requests that crash them.
  */
 class gateway_peers
 {
 public:
     gateway_peers(member_directory& members, incarnation process,
-                  rate_slices& rates, time_point now);
+                  rate_slices& rates, crash_quarantine& quarantine,
+                  time_point now);
 
     void received(const datagram_received& event, time_point now,
                   gateway_commands& out);
     void tick(time_point now, gateway_commands& out);
     time_point next_wakeup() const;
-    /** Sends suspicions to live VMs, within the datagram rate limit. */
-    void broadcast_suspicions(const std::vector<server_suspicion>& suspicions,
-                              time_point now, gateway_commands& out);
+    /** Sends news to live VMs, within the datagram rate limit. */
+    void broadcast(gateway_datagram news, time_point now,
+                   gateway_commands& out);
     /** Sends asks for tokens, one datagram per VM. */
     void send_asks(const std::vector<addressed_ask>& asks, time_point now,
                    gateway_commands& out);
@@ -34,11 +36,12 @@
 
     incarnation m_process;
     rate_slices& m_rates;
+    crash_quarantine& m_quarantine;
     member_directory& m_members;
     time_point m_next_heartbeat;
     time_point m_next_asks;
-    /** Token bucket for datagrams that carry suspicions. */
-    token_bucket m_suspicion_budget;
+    /** Token bucket for datagrams that carry news. */
+    token_bucket m_news_budget;
 };
 
 } // namespace cranberrywood
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -42,6 +42,8 @@
     request_not_served = 1602,
     request_malformed = 1603,
     request_refused_after_crashes = 1701,
+    request_crashed_server = 1702,
+    request_cleared = 1703,
     port_not_free = 1801,
     peer_frame_refused = 1802,
     backend_frame_refused = 1803,
--- a/src/loop/backend_connection.cpp
+++ b/src/loop/backend_connection.cpp
@@ -43,41 +43,73 @@
 void backend_connection::open(carried_exchange exchange)
 {
     m_exchange = std::move(exchange);
+    connect();
+}
+
+void backend_connection::open_idle()
+{
+    m_probing = true;
+    connect();
+}
+
+void backend_connection::connect()
+{
     const auto self = shared_from_this();
     error_code error;
     const auto ip = asio::ip::make_address(m_address.host, error);
     if (error) {
-        asio::post(m_links.m_loop.io,
-                   [self] { self->fail(exchange_fault::not_connected); });
+        asio::post(m_links.m_loop.io, [self] {
+            self->not_connected(exchange_fault::not_connected);
+        });
         return;
     }
     m_connect_timer.expires_after(connect_timeout);
     m_connect_timer.async_wait([self](const error_code& timer_error) {
         if (!timer_error && !self->m_connected) {
-            self->fail(exchange_fault::not_connected);
+            self->not_connected(exchange_fault::not_connected);
         }
     });
     m_stream->socket().async_connect(
         {ip, m_address.port}, [self](const error_code& connect_error) {
             self->m_connect_timer.cancel();
-            if (!self->m_exchange) {
+            if (!self->m_exchange && !self->m_probing) {
                 return;
             }
             if (connect_error) {
-                self->fail(connect_error == asio::error::connection_refused
-                               ? exchange_fault::connection_refused
-                               : exchange_fault::not_connected);
+                self->not_connected(connect_error ==
+                                            asio::error::connection_refused
+                                        ? exchange_fault::connection_refused
+                                        : exchange_fault::not_connected);
             } else {
                 self->connected();
             }
         });
 }
 
+void backend_connection::not_connected(exchange_fault fault)
+{
+    if (!m_probing) {
+        fail(fault);
+        return;
+    }
+    const auto self = shared_from_this();
+    close();
+    m_links.probed(self, fault == exchange_fault::connection_refused
+                             ? probe_result::refused
+                             : probe_result::unreachable);
+}
+
 void backend_connection::connected()
 {
     m_connected = true;
     m_stream->listen(this);
     m_stream->start();
+    if (m_probing) {
+        m_probing = false;
+        m_idle_since = m_links.m_loop.time.now();
+        m_links.probed(shared_from_this(), probe_result::accepted);
+        return;
+    }
     write(std::move(*m_exchange));
 }
 
@@ -102,6 +134,7 @@
 void backend_connection::close()
 {
     m_exchange.reset();
+    m_probing = false;
     m_connect_timer.cancel();
     m_stream->close();
 }
--- a/src/loop/backend_connection.hpp
+++ b/src/loop/backend_connection.hpp
@@ -31,6 +31,8 @@
 
     /** Connects and then sends the exchange. */
     void open(carried_exchange exchange);
+    /** Connects and stays idle; the result is that of a probe. */
+    void open_idle();
     /** Sends an exchange on the idle connection. */
     void send(carried_exchange exchange);
     /** Closes and reports nothing. */
@@ -60,7 +62,9 @@
     void stream_failed() override;
 
 private:
+    void connect();
     void connected();
+    void not_connected(exchange_fault fault);
     void write(carried_exchange exchange);
     void look(read_state state);
     void answer_complete();
@@ -77,6 +81,8 @@
     response_reader m_reader;
     std::optional<carried_exchange> m_exchange;
     bool m_connected = false;
+    /** It is opened for a probe that has not ended. */
+    bool m_probing = false;
     /** The exchange was sent on an idle connection; nothing came back yet. */
     bool m_on_kept = false;
     /** How long the connection had been idle when the exchange was sent. */
--- a/src/loop/backend_links.cpp
+++ b/src/loop/backend_links.cpp
@@ -16,6 +16,9 @@
     for (const auto& [exchange, connection] : m_busy) {
         connection->close();
     }
+    for (const auto& [server, connection] : m_probes) {
+        connection->close();
+    }
     for (const auto& [server, p] : m_pools) {
         for (const auto& connection : p.idle) {
             connection->close();
@@ -28,7 +31,7 @@
     carried_exchange carried{exchange.exchange, exchange.request->id,
                              std::move(bytes),
                              exchange.request->method == "HEAD"};
-    pool& p = pool_of(exchange);
+    pool& p = pool_of(exchange.server, exchange.address);
     if (auto kept = take_idle(p)) {
         m_busy[exchange.exchange] = kept;
         kept->send(std::move(carried));
@@ -50,6 +53,19 @@
     }
 }
 
+void backend_links::probe(const probe_server& probe)
+{
+    if (m_probes.count(probe.server) != 0) {
+        return;
+    }
+    pool_of(probe.server, probe.address);
+    auto fresh = std::make_shared<backend_connection>(*this, probe.server,
+                                                      probe.address);
+    ++m_opened;
+    m_probes[probe.server] = fresh;
+    fresh->open_idle();
+}
+
 void backend_links::sweep(time_point now)
 {
     for (auto it = m_pools.begin(); it != m_pools.end();) {
@@ -77,15 +93,16 @@
     return count;
 }
 
-backend_links::pool& backend_links::pool_of(const start_exchange& exchange)
+backend_links::pool& backend_links::pool_of(backend_server_id server,
+                                            const endpoint& address)
 {
-    pool& p = m_pools[exchange.server];
-    if (p.address != exchange.address) {
+    pool& p = m_pools[server];
+    if (p.address != address) {
         for (const auto& connection : p.idle) {
             connection->close();
         }
         p.idle.clear();
-        p.address = exchange.address;
+        p.address = address;
     }
     return p;
 }
@@ -134,4 +151,15 @@
                idle.end());
 }
 
+void backend_links::probed(const connection_pointer& connection,
+                           probe_result result)
+{
+    const backend_server_id server = connection->server();
+    m_probes.erase(server);
+    if (result == probe_result::accepted) {
+        became_idle(connection);
+    }
+    m_handler.server_probed(server, result);
+}
+
 } // namespace cranberrywood
--- a/src/loop/backend_links.hpp
+++ b/src/loop/backend_links.hpp
@@ -26,6 +26,8 @@
                                    http_response response) = 0;
     virtual void exchange_failed(exchange_id exchange,
                                  exchange_fault fault) = 0;
+    virtual void server_probed(backend_server_id server,
+                               probe_result result) = 0;
 };
 
 /**
@@ -45,6 +47,9 @@
     /** Ends an exchange by closing its connection; reports nothing. */
     void cancel(exchange_id exchange);
 
+    /** Opens a connection and keeps it for the next exchange. */
+    void probe(const probe_server& probe);
+
     /** Closes connections that were idle for long. */
     void sweep(time_point now);
 
@@ -64,15 +69,18 @@
         std::vector<connection_pointer> idle;
     };
 
-    pool& pool_of(const start_exchange& exchange);
+    pool& pool_of(backend_server_id server, const endpoint& address);
     connection_pointer take_idle(pool& p);
     void became_idle(const connection_pointer& connection);
     void ended(backend_connection* connection);
+    void probed(const connection_pointer& connection, probe_result result);
 
     loop_context& m_loop;
     exchange_handler& m_handler;
     std::unordered_map<backend_server_id, pool> m_pools;
     std::unordered_map<exchange_id, connection_pointer> m_busy;
+    /** Connections that are being opened for a probe. */
+    std::unordered_map<backend_server_id, connection_pointer> m_probes;
     rest_limits m_rest_limits;
     std::uint64_t m_opened = 0;
 };
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -163,6 +163,12 @@
     handle(exchange_ended{exchange, exchange_failure{fault}});
 }
 
+void gateway_process::server_probed(backend_server_id server,
+                                    probe_result result)
+{
+    handle(cranberrywood::server_probed{server, result});
+}
+
 void gateway_process::store_read(store_area area, const followed_page& page)
 {
     contact_changed(true, "");
@@ -314,6 +320,10 @@
         {
             process.m_links.cancel(cancel.exchange);
         }
+        void operator()(const probe_server& probe) const
+        {
+            process.m_links.probe(probe);
+        }
         void operator()(const answer_to_caller& answer) const
         {
             process.m_front.answer(
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -46,6 +46,7 @@
     void exchange_answered(exchange_id exchange,
                            http_response response) override;
     void exchange_failed(exchange_id exchange, exchange_fault fault) override;
+    void server_probed(backend_server_id server, probe_result result) override;
 
     void store_read(store_area area, const followed_page& page) override;
     void store_failed(store_area area, const std::string& why) override;
--- a/src/systems/servers/server_directory.cpp
+++ b/src/systems/servers/server_directory.cpp
@@ -41,47 +41,54 @@
 {
 }
 
-void server_directory::reported(const servers_reported& report, time_point now,
-                                gateway_commands& out)
+std::vector<backend_server_id>
+server_directory::reported(const servers_reported& report, time_point now,
+                           gateway_commands& out)
 {
     std::set<backend_server_id> listed;
+    std::vector<backend_server_id> started;
     for (const backend_server_entry& entry : report.entries) {
-        put(entry, now, out);
+        if (put(entry, now, out) == put_result::started) {
+            started.push_back(entry.id);
+        }
         listed.insert(entry.id);
     }
     if (!report.whole_list) {
-        return;
+        return started;
     }
     for (const backend_server_id id : m_servers.all()) {
         if (listed.count(id) == 0) {
             mark_unlisted(*m_servers.find(id), now, out);
         }
     }
+    return started;
 }
 
 // Only stale reports and changes in the use of a server are logged; most
 // reports change nothing.
-void server_directory::put(const backend_server_entry& entry, time_point now,
-                           gateway_commands& out)
+put_result server_directory::put(const backend_server_entry& entry,
+                                 time_point now, gateway_commands& out)
 {
     const server_row* known = m_servers.find(entry.id);
     const bool listed = known != nullptr && !known->unlisted_at;
     const bool was_draining = known != nullptr && known->entry.draining;
-    switch (m_servers.put(entry, now)) {
+    const put_result result = m_servers.put(entry, now);
+    switch (result) {
     case put_result::stale:
         log_server(log_code::server_report_stale, entry, "", out);
-        return;
+        break;
     case put_result::started:
         log_server(log_code::server_listed, entry, "", out);
-        return;
+        break;
     case put_result::updated:
         if (!listed) {
             log_server(log_code::server_listed, entry, " again=yes", out);
         } else if (entry.draining != was_draining) {
             log_server(log_code::server_drain_changed, entry, "", out);
         }
-        return;
+        break;
     }
+    return result;
 }
 
 void server_directory::unlisted(backend_server_id server, time_point now,
--- a/src/systems/servers/server_directory.hpp
+++ b/src/systems/servers/server_directory.hpp
@@ -19,8 +19,10 @@
 public:
     explicit server_directory(server_table& servers);
 
-    void reported(const servers_reported& report, time_point now,
-                  gateway_commands& out);
+    /** Returns the servers whose process is new. */
+    std::vector<backend_server_id> reported(const servers_reported& report,
+                                            time_point now,
+                                            gateway_commands& out);
     void unlisted(backend_server_id server, time_point now,
                   gateway_commands& out);
     void contact_changed(const store_reachability_changed& contact,
@@ -30,8 +32,8 @@
     void drop_unlisted(time_point now);
 
 private:
-    void put(const backend_server_entry& entry, time_point now,
-             gateway_commands& out);
+    put_result put(const backend_server_entry& entry, time_point now,
+                   gateway_commands& out);
     void mark_unlisted(server_row& row, time_point now,
                        gateway_commands& out) const;
 
--- a/src/tables/due_queue.hpp
+++ b/src/tables/due_queue.hpp
@@ -37,6 +37,11 @@
         m_times.erase(found);
     }
 
+    bool contains(const Key& key) const
+    {
+        return m_times.count(key) != 0;
+    }
+
     /** Takes out the next key that is due at a time, if there is one. */
     std::optional<Key> pop_due(time_point now)
     {
--- a/src/tables/open_request.hpp
+++ b/src/tables/open_request.hpp
@@ -22,6 +22,8 @@
     bool not_run = false;
     /** Nothing of the request was written to the server. */
     bool unsent = false;
+    /** It was written and its connection was lost. */
+    bool lost = false;
     /** It was late enough to make its server suspect. */
     bool made_suspect = false;
 };
@@ -42,6 +44,8 @@
     service_id service;
     call_state state = call_state::waiting;
     std::vector<call_send> sends;
+    /** Not sent before another call of the request has shown to be harmless. */
+    bool held = false;
     /** Time before which no hedge is tried; set after one that had to wait. */
     time_point no_hedge_before;
     /** Answer that the caller gets: a success, or the last failure. */
@@ -60,6 +64,14 @@
         }
         return false;
     }
+    std::uint32_t lost_sends() const
+    {
+        std::uint32_t lost = 0;
+        for (const call_send& send : sends) {
+            lost += send.lost ? 1 : 0;
+        }
+        return lost;
+    }
     /** Returns whether a backend server may have run the request. */
     bool may_have_run() const
     {
@@ -98,6 +110,8 @@
     std::shared_ptr<const outbound_request> outbound;
     /** Equal for all attempts of one request by one workspace. */
     fingerprint print;
+    /** A server had crashed under an equal request when it was admitted. */
+    bool suspect = false;
     std::shared_ptr<const route> terms;
     workspace_id workspace;
     std::string workspace_name;
--- a/src/tests/gateway_peers_test.cpp
+++ b/src/tests/gateway_peers_test.cpp
@@ -39,13 +39,15 @@
     peer_vm(std::size_t self, random_source& random, time_point now)
         : members({address(self), {address(0), address(1), address(2)}}, random,
                   now),
-          rates(members), peers(members, incarnation(self + 1), rates, now)
+          rates(members),
+          peers(members, incarnation(self + 1), rates, quarantine, now)
     {
         rates.catalogue_changed(limits(), now);
     }
 
     member_directory members;
     rate_slices rates;
+    crash_quarantine quarantine;
     gateway_peers peers;
 };
 
--- a/src/tests/loop/backend_links_test.cpp
+++ b/src/tests/loop/backend_links_test.cpp
@@ -31,6 +31,11 @@
     {
         faults.push_back(fault);
     }
+    void server_probed(backend_server_id /*server*/,
+                       probe_result result) override
+    {
+        probes.push_back(result);
+    }
     std::size_t ended() const
     {
         return answers.size() + faults.size();
@@ -38,6 +43,7 @@
 
     std::vector<http_response> answers;
     std::vector<exchange_fault> faults;
+    std::vector<probe_result> probes;
 };
 
 struct answer_row
@@ -318,3 +324,35 @@
     }
     CHECK_EQUAL(0, handler.answers.size());
 }
+
+TEST(backend_links, a_probe_of_a_server_that_runs_leaves_a_connection_to_use)
+{
+    links->probe({backend_server_id(1), {"127.0.0.1", server->port()}});
+    CHECK(run_until(io, [&] { return handler.probes.size() == 1; }));
+    CHECK(handler.probes[0] == probe_result::accepted);
+    CHECK_EQUAL(1, links->idle_connections());
+    const auto peer = accept();
+    start("a");
+    await_request(*peer, "a");
+    peer->send(answer("a", "1"));
+    await_end(1);
+    CHECK_EQUAL(1, links->connections_opened());
+}
+
+TEST(backend_links, a_probe_of_a_server_that_has_ended_is_refused)
+{
+    server->close();
+    links->probe({backend_server_id(1), {"127.0.0.1", server->port()}});
+    CHECK(run_until(io, [&] { return handler.probes.size() == 1; }));
+    CHECK(handler.probes[0] == probe_result::refused);
+    CHECK_EQUAL(0, links->idle_connections());
+    CHECK_EQUAL(0, handler.ended());
+}
+
+TEST(backend_links, a_probe_that_is_under_way_is_not_repeated)
+{
+    links->probe({backend_server_id(1), {"127.0.0.1", server->port()}});
+    links->probe({backend_server_id(1), {"127.0.0.1", server->port()}});
+    CHECK(run_until(io, [&] { return handler.probes.size() == 1; }));
+    CHECK_EQUAL(1, links->connections_opened());
+}
--- a/src/tests/loop/gateway_codec_test.cpp
+++ b/src/tests/loop/gateway_codec_test.cpp
@@ -23,6 +23,9 @@
     datagram.asks = {{5, workspace_id(9), 3}};
     datagram.grants = {{6, workspace_id(9), 2, 1s}};
     datagram.suspicions = {{backend_server_id(31), 150ms}};
+    datagram.crashes = {{fingerprint(1ULL << 63U), backend_server_id(31),
+                         service_id(4), 9ms, 4ms, 2}};
+    datagram.clearances = {{fingerprint(12), service_id(4), 30ms}};
     return datagram;
 }
 
@@ -57,6 +60,15 @@
     CHECK(datagram.grants[0].term == duration(1s));
     CHECK(datagram.suspicions[0].server == backend_server_id(31));
     CHECK(datagram.suspicions[0].term == duration(150ms));
+    const crash_report& crash = datagram.crashes[0];
+    CHECK(crash.print == fingerprint(1ULL << 63U));
+    CHECK(crash.server == backend_server_id(31));
+    CHECK(crash.service == service_id(4));
+    CHECK(crash.sent_age == duration(9ms));
+    CHECK(crash.lost_age == duration(4ms));
+    CHECK_EQUAL(2U, crash.strike);
+    CHECK(datagram.clearances[0].print == fingerprint(12));
+    CHECK(datagram.clearances[0].sent_age == duration(30ms));
 }
 
 TEST(gateway_codec, hints_of_an_earlier_version_are_read)
--- a/src/tests/soak/soak_exchanges.cpp
+++ b/src/tests/soak/soak_exchanges.cpp
@@ -46,11 +46,14 @@
 {
     soak_server& server = *at(command.address);
     const auto how = server.receive(command.server_name, m_now, m_random);
-    const exchange_failure unreached{exchange_fault::not_connected};
     if (how == reception::refused || how == reception::silent) {
         after(how == reception::silent ? connect_timeout : delay(),
-              [this, index, process, command, unreached] {
-                  end_exchange(index, process, command.exchange, unreached);
+              [this, index, process, command, how] {
+                  end_exchange(index, process, command.exchange,
+                               exchange_failure{
+                                   how == reception::silent
+                                       ? exchange_fault::not_connected
+                                       : exchange_fault::connection_refused});
               });
         return;
     }
@@ -76,6 +79,20 @@
     end_exchange(index, process, command.exchange, answer);
 }
 
+void soak_world::probe(std::size_t index, const probe_server& command)
+{
+    const std::uint64_t process = m_vms[index].process;
+    after(delay() * 2, [this, index, process, command] {
+        const soak_server& server = *at(command.address);
+        const probe_result result = server.up     ? probe_result::accepted
+                                    : server.dark ? probe_result::unreachable
+                                                  : probe_result::refused;
+        in_process(index, process, [this, index, command, result] {
+            feed(index, server_probed{command.server, result});
+        });
+    });
+}
+
 void soak_world::run(std::size_t index, std::uint64_t process,
                      const start_exchange& command, soak_server& server,
                      std::size_t arrival)
@@ -88,6 +105,12 @@
     const std::string name = server.entry.name;
     const std::size_t place = command.address.port - first_server_port;
     const exchange_id exchange = command.exchange;
+    if (command.request->target.find(fatal_path) != std::string::npos) {
+        crash(place, false);
+        end_exchange(index, process, exchange,
+                     exchange_failure{exchange_fault::connection_lost});
+        return;
+    }
     after(work, [this, index, process, exchange, name, place, arrival] {
         finish_run(index, process, exchange, name, place, arrival);
     });
--- a/src/tests/soak/soak_faults.cpp
+++ b/src/tests/soak/soak_faults.cpp
@@ -62,12 +62,7 @@
     soak_server& server = m_servers[index];
     switch (m_random.below(6)) {
     case 0:
-        server.up = false;
-        server.dark = m_random.below(2) == 0;
-        after(1s, [this, index] {
-            m_servers[index].restart(m_random.below(2) == 0, m_now);
-            report_servers();
-        });
+        crash(index, m_random.below(2) == 0);
         return;
     case 1:
         server.paused_until = m_now + 120ms;
@@ -101,4 +96,18 @@
     }
 }
 
+void soak_world::crash(std::size_t place, bool dark)
+{
+    soak_server& server = m_servers[place];
+    if (!server.up) {
+        return;
+    }
+    server.up = false;
+    server.dark = dark;
+    after(1s, [this, place] {
+        m_servers[place].restart(m_random.below(2) == 0, m_now);
+        report_servers();
+    });
+}
+
 } // namespace cranberrywood::soak
--- a/src/tests/soak/soak_world.cpp
+++ b/src/tests/soak/soak_world.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint16_t peer_port = 7000;
 constexpr duration grace_for_tail = 3s;
 constexpr std::uint64_t single_service = 100;
+constexpr std::uint64_t requests_per_fatal = 200;
 std::string vm_address(std::size_t vm)
 {
     return "10.0.0." + std::to_string(vm + 1) + ":" + std::to_string(peer_port);
@@ -218,6 +219,8 @@
         } else if (const auto* datagram =
                        std::get_if<send_datagram>(&command)) {
             send(index, *datagram);
+        } else if (const auto* probed = std::get_if<probe_server>(&command)) {
+            probe(index, *probed);
         } else if (const auto* line = std::get_if<gateway_log>(&command)) {
             m_log.push_back("vm=" + std::to_string(index) + " CW" +
                             std::to_string(line->code) + " " + line->text);
@@ -379,7 +382,9 @@
     request_received asked;
     asked.token = caller_token(++m_next_token);
     asked.host = "a";
-    asked.path = paths[m_random.below(4)] + std::to_string(m_next_token);
+    const bool fatal = m_faults && m_random.below(requests_per_fatal) == 0;
+    asked.path = paths[m_random.below(4)] +
+                 (fatal ? fatal_path : std::to_string(m_next_token));
     asked.key = key_of(workspace);
     asked.deadline = 200ms * (1 + m_random.below(8));
     asked.arrived = m_now;
--- a/src/tests/soak/soak_world.hpp
+++ b/src/tests/soak/soak_world.hpp
@@ -20,6 +20,9 @@
 /** Asks for twice its rate; its key is withdrawn at times. */
 constexpr const char* pressing_workspace = "field";
 
+/** End of the path of a request that crashes each server that runs it. */
+constexpr const char* fatal_path = "fatal";
+
 /** Sizes of a run. */
 struct soak_shape
 {
@@ -111,6 +114,9 @@
     void start(std::size_t index, const start_exchange& command);
     void receive(std::size_t index, std::uint64_t process,
                  const start_exchange& command, bool was_leaving);
+    void probe(std::size_t index, const probe_server& command);
+    /** Ends a server's process, which is back after a second. */
+    void crash(std::size_t place, bool dark);
     void run(std::size_t index, std::uint64_t process,
              const start_exchange& command, soak_server& server,
              std::size_t arrival);
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -34,6 +34,21 @@
   2: i64 term
 }
 
+struct crash_report {
+  1: i64 request_print
+  2: i64 server
+  3: i64 service_id
+  4: i64 sent_age
+  5: i64 lost_age
+  6: i32 strike
+}
+
+struct crash_clearance {
+  1: i64 request_print
+  2: i64 service_id
+  3: i64 sent_age
+}
+
 struct gateway_datagram {
   1: i64 process
   2: i32 fleet_size
@@ -44,6 +59,8 @@
   6: list<token_grant> grants
   7: list<server_suspicion> suspicions
   8: list<packed_member> packed_members
+  9: list<crash_report> crashes
+  10: list<crash_clearance> clearances
 }
 
 struct mirrored_item {
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -52,6 +52,27 @@
     copy(c.term, w.term);
 }
 
+template <class D>
+void copy_fields(D& copy, typename D::template core<crash_report> c,
+                 typename D::template wired<wire::crash_report> w)
+{
+    copy(c.print, w.request_print);
+    copy(c.server, w.server);
+    copy(c.service, w.service_id);
+    copy(c.sent_age, w.sent_age);
+    copy(c.lost_age, w.lost_age);
+    copy(c.strike, w.strike);
+}
+
+template <class D>
+void copy_fields(D& copy, typename D::template core<crash_clearance> c,
+                 typename D::template wired<wire::crash_clearance> w)
+{
+    copy(c.print, w.request_print);
+    copy(c.service, w.service_id);
+    copy(c.sent_age, w.sent_age);
+}
+
 template <class D>
 void copy_fields(D& copy, typename D::template core<gateway_datagram> c,
                  typename D::template wired<wire::gateway_datagram> w)
@@ -64,6 +85,8 @@
     copy(c.asks, w.asks);
     copy(c.grants, w.grants);
     copy(c.suspicions, w.suspicions);
+    copy(c.crashes, w.crashes);
+    copy(c.clearances, w.clearances);
 }
 
 template <class D>
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -634,6 +634,330 @@
 }
 
 
+crash_report::~crash_report() noexcept {
+}
+
+
+void crash_report::__set_request_print(const int64_t val) {
+  this->request_print = val;
+}
+
+void crash_report::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void crash_report::__set_service_id(const int64_t val) {
+  this->service_id = val;
+}
+
+void crash_report::__set_sent_age(const int64_t val) {
+  this->sent_age = val;
+}
+
+void crash_report::__set_lost_age(const int64_t val) {
+  this->lost_age = val;
+}
+
+void crash_report::__set_strike(const int32_t val) {
+  this->strike = val;
+}
+std::ostream& operator<<(std::ostream& out, const crash_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t crash_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_print);
+          this->__isset.request_print = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_age);
+          this->__isset.sent_age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lost_age);
+          this->__isset.lost_age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->strike);
+          this->__isset.strike = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t crash_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("crash_report");
+
+  xfer += oprot->writeFieldBegin("request_print", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request_print);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_age", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sent_age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lost_age", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->lost_age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("strike", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->strike);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(crash_report &a, crash_report &b) {
+  using ::std::swap;
+  swap(a.request_print, b.request_print);
+  swap(a.server, b.server);
+  swap(a.service_id, b.service_id);
+  swap(a.sent_age, b.sent_age);
+  swap(a.lost_age, b.lost_age);
+  swap(a.strike, b.strike);
+  swap(a.__isset, b.__isset);
+}
+
+crash_report::crash_report(const crash_report& other10) noexcept {
+  request_print = other10.request_print;
+  server = other10.server;
+  service_id = other10.service_id;
+  sent_age = other10.sent_age;
+  lost_age = other10.lost_age;
+  strike = other10.strike;
+  __isset = other10.__isset;
+}
+crash_report& crash_report::operator=(const crash_report& other11) noexcept {
+  request_print = other11.request_print;
+  server = other11.server;
+  service_id = other11.service_id;
+  sent_age = other11.sent_age;
+  lost_age = other11.lost_age;
+  strike = other11.strike;
+  __isset = other11.__isset;
+  return *this;
+}
+void crash_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "crash_report(";
+  out << "request_print=" << to_string(request_print);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "service_id=" << to_string(service_id);
+  out << ", " << "sent_age=" << to_string(sent_age);
+  out << ", " << "lost_age=" << to_string(lost_age);
+  out << ", " << "strike=" << to_string(strike);
+  out << ")";
+}
+
+
+crash_clearance::~crash_clearance() noexcept {
+}
+
+
+void crash_clearance::__set_request_print(const int64_t val) {
+  this->request_print = val;
+}
+
+void crash_clearance::__set_service_id(const int64_t val) {
+  this->service_id = val;
+}
+
+void crash_clearance::__set_sent_age(const int64_t val) {
+  this->sent_age = val;
+}
+std::ostream& operator<<(std::ostream& out, const crash_clearance& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t crash_clearance::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_print);
+          this->__isset.request_print = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_age);
+          this->__isset.sent_age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t crash_clearance::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("crash_clearance");
+
+  xfer += oprot->writeFieldBegin("request_print", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request_print);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_age", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sent_age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(crash_clearance &a, crash_clearance &b) {
+  using ::std::swap;
+  swap(a.request_print, b.request_print);
+  swap(a.service_id, b.service_id);
+  swap(a.sent_age, b.sent_age);
+  swap(a.__isset, b.__isset);
+}
+
+crash_clearance::crash_clearance(const crash_clearance& other12) noexcept {
+  request_print = other12.request_print;
+  service_id = other12.service_id;
+  sent_age = other12.sent_age;
+  __isset = other12.__isset;
+}
+crash_clearance& crash_clearance::operator=(const crash_clearance& other13) noexcept {
+  request_print = other13.request_print;
+  service_id = other13.service_id;
+  sent_age = other13.sent_age;
+  __isset = other13.__isset;
+  return *this;
+}
+void crash_clearance::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "crash_clearance(";
+  out << "request_print=" << to_string(request_print);
+  out << ", " << "service_id=" << to_string(service_id);
+  out << ", " << "sent_age=" << to_string(sent_age);
+  out << ")";
+}
+
+
 gateway_datagram::~gateway_datagram() noexcept {
 }
 
@@ -669,6 +993,14 @@
 void gateway_datagram::__set_packed_members(const std::vector<packed_member> & val) {
   this->packed_members = val;
 }
+
+void gateway_datagram::__set_crashes(const std::vector<crash_report> & val) {
+  this->crashes = val;
+}
+
+void gateway_datagram::__set_clearances(const std::vector<crash_clearance> & val) {
+  this->clearances = val;
+}
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
 {
   obj.printTo(out);
@@ -725,14 +1057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->members.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->members.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += this->members[_i14].read(iprot);
+              xfer += this->members[_i18].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -745,14 +1077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->asks.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->asks.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
             {
-              xfer += this->asks[_i19].read(iprot);
+              xfer += this->asks[_i23].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -765,14 +1097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->grants.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->grants.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->grants[_i24].read(iprot);
+              xfer += this->grants[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -785,14 +1117,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->suspicions.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->suspicions.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->suspicions[_i29].read(iprot);
+              xfer += this->suspicions[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -805,14 +1137,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->packed_members.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->packed_members.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->packed_members.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->packed_members[_i34].read(iprot);
+              xfer += this->packed_members[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -821,6 +1153,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->crashes.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
+            {
+              xfer += this->crashes[_i43].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->clearances.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->clearances.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->clearances[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.clearances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -853,10 +1225,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<member_hint> ::const_iterator _iter35;
-    for (_iter35 = this->members.begin(); _iter35 != this->members.end(); ++_iter35)
+    std::vector<member_hint> ::const_iterator _iter49;
+    for (_iter49 = this->members.begin(); _iter49 != this->members.end(); ++_iter49)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -865,10 +1237,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<token_ask> ::const_iterator _iter36;
-    for (_iter36 = this->asks.begin(); _iter36 != this->asks.end(); ++_iter36)
+    std::vector<token_ask> ::const_iterator _iter50;
+    for (_iter50 = this->asks.begin(); _iter50 != this->asks.end(); ++_iter50)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter50).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -877,10 +1249,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<token_grant> ::const_iterator _iter37;
-    for (_iter37 = this->grants.begin(); _iter37 != this->grants.end(); ++_iter37)
+    std::vector<token_grant> ::const_iterator _iter51;
+    for (_iter51 = this->grants.begin(); _iter51 != this->grants.end(); ++_iter51)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -889,10 +1261,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<server_suspicion> ::const_iterator _iter38;
-    for (_iter38 = this->suspicions.begin(); _iter38 != this->suspicions.end(); ++_iter38)
+    std::vector<server_suspicion> ::const_iterator _iter52;
+    for (_iter52 = this->suspicions.begin(); _iter52 != this->suspicions.end(); ++_iter52)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -901,10 +1273,34 @@
   xfer += oprot->writeFieldBegin("packed_members", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packed_members.size()));
-    std::vector<packed_member> ::const_iterator _iter39;
-    for (_iter39 = this->packed_members.begin(); _iter39 != this->packed_members.end(); ++_iter39)
+    std::vector<packed_member> ::const_iterator _iter53;
+    for (_iter53 = this->packed_members.begin(); _iter53 != this->packed_members.end(); ++_iter53)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter53).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<crash_report> ::const_iterator _iter54;
+    for (_iter54 = this->crashes.begin(); _iter54 != this->crashes.end(); ++_iter54)
+    {
+      xfer += (*_iter54).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clearances", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->clearances.size()));
+    std::vector<crash_clearance> ::const_iterator _iter55;
+    for (_iter55 = this->clearances.begin(); _iter55 != this->clearances.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -925,30 +1321,36 @@
   swap(a.grants, b.grants);
   swap(a.suspicions, b.suspicions);
   swap(a.packed_members, b.packed_members);
+  swap(a.crashes, b.crashes);
+  swap(a.clearances, b.clearances);
   swap(a.__isset, b.__isset);
 }
 
-gateway_datagram::gateway_datagram(const gateway_datagram& other40) {
-  process = other40.process;
-  fleet_size = other40.fleet_size;
-  settled = other40.settled;
-  members = other40.members;
-  asks = other40.asks;
-  grants = other40.grants;
-  suspicions = other40.suspicions;
-  packed_members = other40.packed_members;
-  __isset = other40.__isset;
-}
-gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other41) {
-  process = other41.process;
-  fleet_size = other41.fleet_size;
-  settled = other41.settled;
-  members = other41.members;
-  asks = other41.asks;
-  grants = other41.grants;
-  suspicions = other41.suspicions;
-  packed_members = other41.packed_members;
-  __isset = other41.__isset;
+gateway_datagram::gateway_datagram(const gateway_datagram& other56) {
+  process = other56.process;
+  fleet_size = other56.fleet_size;
+  settled = other56.settled;
+  members = other56.members;
+  asks = other56.asks;
+  grants = other56.grants;
+  suspicions = other56.suspicions;
+  packed_members = other56.packed_members;
+  crashes = other56.crashes;
+  clearances = other56.clearances;
+  __isset = other56.__isset;
+}
+gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other57) {
+  process = other57.process;
+  fleet_size = other57.fleet_size;
+  settled = other57.settled;
+  members = other57.members;
+  asks = other57.asks;
+  grants = other57.grants;
+  suspicions = other57.suspicions;
+  packed_members = other57.packed_members;
+  crashes = other57.crashes;
+  clearances = other57.clearances;
+  __isset = other57.__isset;
   return *this;
 }
 void gateway_datagram::printTo(std::ostream& out) const {
@@ -962,6 +1364,8 @@
   out << ", " << "grants=" << to_string(grants);
   out << ", " << "suspicions=" << to_string(suspicions);
   out << ", " << "packed_members=" << to_string(packed_members);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "clearances=" << to_string(clearances);
   out << ")";
 }
 
@@ -1092,19 +1496,19 @@
   swap(a.__isset, b.__isset);
 }
 
-mirrored_item::mirrored_item(const mirrored_item& other42) {
-  key = other42.key;
-  revision = other42.revision;
-  removed = other42.removed;
-  bytes = other42.bytes;
-  __isset = other42.__isset;
+mirrored_item::mirrored_item(const mirrored_item& other58) {
+  key = other58.key;
+  revision = other58.revision;
+  removed = other58.removed;
+  bytes = other58.bytes;
+  __isset = other58.__isset;
 }
-mirrored_item& mirrored_item::operator=(const mirrored_item& other43) {
-  key = other43.key;
-  revision = other43.revision;
-  removed = other43.removed;
-  bytes = other43.bytes;
-  __isset = other43.__isset;
+mirrored_item& mirrored_item::operator=(const mirrored_item& other59) {
+  key = other59.key;
+  revision = other59.revision;
+  removed = other59.removed;
+  bytes = other59.bytes;
+  __isset = other59.__isset;
   return *this;
 }
 void mirrored_item::printTo(std::ostream& out) const {
@@ -1213,14 +1617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->items.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->items.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->items[_i48].read(iprot);
+              xfer += this->items[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1281,10 +1685,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<mirrored_item> ::const_iterator _iter49;
-    for (_iter49 = this->items.begin(); _iter49 != this->items.end(); ++_iter49)
+    std::vector<mirrored_item> ::const_iterator _iter65;
+    for (_iter65 = this->items.begin(); _iter65 != this->items.end(); ++_iter65)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1315,25 +1719,25 @@
   swap(a.__isset, b.__isset);
 }
 
-mirror_update::mirror_update(const mirror_update& other50) {
-  place = other50.place;
-  process = other50.process;
-  whole = other50.whole;
-  store_steady = other50.store_steady;
-  items = other50.items;
-  at = other50.at;
-  store_reachable = other50.store_reachable;
-  __isset = other50.__isset;
-}
-mirror_update& mirror_update::operator=(const mirror_update& other51) {
-  place = other51.place;
-  process = other51.process;
-  whole = other51.whole;
-  store_steady = other51.store_steady;
-  items = other51.items;
-  at = other51.at;
-  store_reachable = other51.store_reachable;
-  __isset = other51.__isset;
+mirror_update::mirror_update(const mirror_update& other66) {
+  place = other66.place;
+  process = other66.process;
+  whole = other66.whole;
+  store_steady = other66.store_steady;
+  items = other66.items;
+  at = other66.at;
+  store_reachable = other66.store_reachable;
+  __isset = other66.__isset;
+}
+mirror_update& mirror_update::operator=(const mirror_update& other67) {
+  place = other67.place;
+  process = other67.process;
+  whole = other67.whole;
+  store_steady = other67.store_steady;
+  items = other67.items;
+  at = other67.at;
+  store_reachable = other67.store_reachable;
+  __isset = other67.__isset;
   return *this;
 }
 void mirror_update::printTo(std::ostream& out) const {
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -31,6 +31,10 @@
 
 class server_suspicion;
 
+class crash_report;
+
+class crash_clearance;
+
 class gateway_datagram;
 
 class mirrored_item;
@@ -311,8 +315,143 @@
 
 std::ostream& operator<<(std::ostream& out, const server_suspicion& obj);
 
+typedef struct _crash_report__isset {
+  _crash_report__isset() : request_print(false), server(false), service_id(false), sent_age(false), lost_age(false), strike(false) {}
+  bool request_print :1;
+  bool server :1;
+  bool service_id :1;
+  bool sent_age :1;
+  bool lost_age :1;
+  bool strike :1;
+} _crash_report__isset;
+
+class crash_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  crash_report(const crash_report&) noexcept;
+  crash_report& operator=(const crash_report&) noexcept;
+  crash_report() noexcept
+               : request_print(0),
+                 server(0),
+                 service_id(0),
+                 sent_age(0),
+                 lost_age(0),
+                 strike(0) {
+  }
+
+  virtual ~crash_report() noexcept;
+  int64_t request_print;
+  int64_t server;
+  int64_t service_id;
+  int64_t sent_age;
+  int64_t lost_age;
+  int32_t strike;
+
+  _crash_report__isset __isset;
+
+  void __set_request_print(const int64_t val);
+
+  void __set_server(const int64_t val);
+
+  void __set_service_id(const int64_t val);
+
+  void __set_sent_age(const int64_t val);
+
+  void __set_lost_age(const int64_t val);
+
+  void __set_strike(const int32_t val);
+
+  bool operator == (const crash_report & rhs) const
+  {
+    if (!(request_print == rhs.request_print))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(sent_age == rhs.sent_age))
+      return false;
+    if (!(lost_age == rhs.lost_age))
+      return false;
+    if (!(strike == rhs.strike))
+      return false;
+    return true;
+  }
+  bool operator != (const crash_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const crash_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(crash_report &a, crash_report &b);
+
+std::ostream& operator<<(std::ostream& out, const crash_report& obj);
+
+typedef struct _crash_clearance__isset {
+  _crash_clearance__isset() : request_print(false), service_id(false), sent_age(false) {}
+  bool request_print :1;
+  bool service_id :1;
+  bool sent_age :1;
+} _crash_clearance__isset;
+
+class crash_clearance : public virtual ::apache::thrift::TBase {
+ public:
+
+  crash_clearance(const crash_clearance&) noexcept;
+  crash_clearance& operator=(const crash_clearance&) noexcept;
+  crash_clearance() noexcept
+                  : request_print(0),
+                    service_id(0),
+                    sent_age(0) {
+  }
+
+  virtual ~crash_clearance() noexcept;
+  int64_t request_print;
+  int64_t service_id;
+  int64_t sent_age;
+
+  _crash_clearance__isset __isset;
+
+  void __set_request_print(const int64_t val);
+
+  void __set_service_id(const int64_t val);
+
+  void __set_sent_age(const int64_t val);
+
+  bool operator == (const crash_clearance & rhs) const
+  {
+    if (!(request_print == rhs.request_print))
+      return false;
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(sent_age == rhs.sent_age))
+      return false;
+    return true;
+  }
+  bool operator != (const crash_clearance &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const crash_clearance & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(crash_clearance &a, crash_clearance &b);
+
+std::ostream& operator<<(std::ostream& out, const crash_clearance& obj);
+
 typedef struct _gateway_datagram__isset {
-  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false) {}
+  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false) {}
   bool process :1;
   bool fleet_size :1;
   bool settled :1;
@@ -321,6 +460,8 @@
   bool grants :1;
   bool suspicions :1;
   bool packed_members :1;
+  bool crashes :1;
+  bool clearances :1;
 } _gateway_datagram__isset;
 
 class gateway_datagram : public virtual ::apache::thrift::TBase {
@@ -343,6 +484,8 @@
   std::vector<token_grant>  grants;
   std::vector<server_suspicion>  suspicions;
   std::vector<packed_member>  packed_members;
+  std::vector<crash_report>  crashes;
+  std::vector<crash_clearance>  clearances;
 
   _gateway_datagram__isset __isset;
 
@@ -362,6 +505,10 @@
 
   void __set_packed_members(const std::vector<packed_member> & val);
 
+  void __set_crashes(const std::vector<crash_report> & val);
+
+  void __set_clearances(const std::vector<crash_clearance> & val);
+
   bool operator == (const gateway_datagram & rhs) const
   {
     if (!(process == rhs.process))
@@ -380,6 +527,10 @@
       return false;
     if (!(packed_members == rhs.packed_members))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(clearances == rhs.clearances))
+      return false;
     return true;
   }
   bool operator != (const gateway_datagram &rhs) const {
