A server that asks for a pause by 503 and Retry-After gets no requests

Cause: the header was not read, so a server that turned a request away was only avoided while others could have its first sends. Change: the server is closed to this VM until then (log event 1507). Calls wait for the first opening if it comes in time and are given up otherwise; a query that cannot have its least share is refused before a shard is asked, with the time to the opening that suffices as Retry-After.

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -28,6 +28,7 @@
 constexpr int late_medians_times_two = 5;
 /** Shortest age at which a server is suspected; below it, latency is normal. */
 constexpr duration min_suspicion_age = 30ms;
+constexpr unsigned service_unavailable = 503;
 /** Share of the connections in use; the rest covers overlaps at closing. */
 constexpr double usable_connection_share = 0.95;
 
@@ -43,6 +44,15 @@
                         " abandoned=" + (row.abandoned ? "yes" : "no")});
 }
 
+void log_closed_server(const exchange_row& row, const std::string& server,
+                       duration wait, gateway_commands& out)
+{
+    out.push_back(
+        gateway_log{static_cast<std::uint32_t>(log_code::server_closed),
+                    "server=" + server + " request=" + row.outbound->id +
+                        " wait_ms=" + milliseconds_text(wait)});
+}
+
 } // namespace
 
 call_sender::call_sender(const gateway_settings& settings,
@@ -87,10 +97,12 @@
         terms.tried.push_back(sent.server);
     }
     const choice_result chosen = m_choice.choose(terms, now);
-    if (std::holds_alternative<all_at_capacity>(chosen)) {
+    if (const auto* full = std::get_if<all_at_capacity>(&chosen)) {
+        c.reopens_at = full->reopens_at;
         return send_outcome::all_at_capacity;
     }
     if (std::holds_alternative<no_usable_server>(chosen)) {
+        c.reopens_at = m_choice.opens_at(c.service, now);
         return send_outcome::no_usable_server;
     }
     if (c.may_have_arrived() && !m_extra_sends.take(c.service)) {
@@ -138,6 +150,12 @@
     const auto* answer = std::get_if<backend_answer>(&ended.result);
     const bool failed = answer == nullptr || answer->misdirected ||
                         (answer->status >= 500 && !answer->not_run);
+    if (answer != nullptr && answer->retry_after && !answer->misdirected &&
+        answer->status == service_unavailable) {
+        m_observer.closed(row.server, *answer->retry_after, now);
+        log_closed_server(row, name_of_server(row.server), *answer->retry_after,
+                          out);
+    }
     if (answer != nullptr && answer->cold_remaining && !answer->misdirected) {
         m_observer.cold(row.server, *answer->cold_remaining, now);
     }
@@ -161,9 +179,8 @@
 {
     const auto* failure = std::get_if<exchange_failure>(&ended.result);
     if (failure != nullptr) {
-        const server_row* server = m_servers.find(row.server);
-        log_lost_send(row, server == nullptr ? "gone" : server->entry.name,
-                      failure->fault, now, out);
+        log_lost_send(row, name_of_server(row.server), failure->fault, now,
+                      out);
     }
     if (failure != nullptr &&
         failure->fault == exchange_fault::kept_connection_lost) {
@@ -174,6 +191,12 @@
     m_suspicions.found(row.server, suspicion_cause::failed, now, out);
 }
 
+std::string call_sender::name_of_server(backend_server_id server) const
+{
+    const server_row* row = m_servers.find(server);
+    return row == nullptr ? "gone" : row->entry.name;
+}
+
 void call_sender::abandon(exchange_id exchange, time_point now)
 {
     const auto found = m_exchanges.find(exchange);
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -100,6 +100,8 @@
     void observe_failure(const exchange_row& row, const exchange_ended& ended,
                          time_point now, gateway_commands& out);
 
+    std::string name_of_server(backend_server_id server) const;
+
     gateway_settings m_settings;
     server_table& m_servers;
     server_choice& m_choice;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -41,7 +41,7 @@
       m_choice(m_servers, random),
       m_sender(settings, m_servers, m_choice, m_suspicions),
       m_crash_watch(m_servers, m_quarantine),
-      m_admission(m_rates, m_waiting, m_quarantine, random),
+      m_admission(m_rates, m_waiting, m_quarantine, m_choice, random),
       m_peers(m_members, incarnation(random.next() | 1U), m_rates, m_quarantine,
               now)
 {
@@ -63,6 +63,9 @@
     }
     m_sender.cancel_overdue(now, out);
     m_crash_watch.tick(now, out);
+    while (const auto service = m_reopenings.pop_due(now)) {
+        serve_waiting(*service, now, out);
+    }
     m_peers.tick(now, out);
     if (now >= m_next_token_review) {
         review_token_waiters(now, out);
@@ -82,7 +85,8 @@
 {
     std::optional<time_point> next = m_due.next_due();
     for (const auto& other :
-         {m_sender.next_overdue(), m_crash_watch.next_wakeup()}) {
+         {m_sender.next_overdue(), m_crash_watch.next_wakeup(),
+          m_reopenings.next_due()}) {
         if (other && (!next || *other < *next)) {
             next = other;
         }
@@ -350,12 +354,7 @@
         return;
     case send_outcome::all_at_capacity:
         if (purpose != send_purpose::hedge && !c.has_open_send()) {
-            c.state = call_state::waiting;
-            if (const auto evicted = m_waiting.push(c.service, request, call)) {
-                if (open_request* other = find(evicted->request)) {
-                    other->calls[evicted->call].state = call_state::failed;
-                }
-            }
+            wait_for_server(request, call);
         }
         return;
     case send_outcome::no_usable_server:
@@ -367,6 +366,26 @@
     }
 }
 
+// A call whose servers all reopen too late is given up at once: a query then
+// answers without that part.
+void gateway::wait_for_server(open_request& request, std::uint32_t call)
+{
+    service_call& c = request.calls[call];
+    if (c.reopens_at && *c.reopens_at >= latest_useful_send(request)) {
+        c.state = call_state::failed;
+        return;
+    }
+    c.state = call_state::waiting;
+    if (c.reopens_at) {
+        m_reopenings.schedule(c.service, *c.reopens_at);
+    }
+    if (const auto evicted = m_waiting.push(c.service, request, call)) {
+        if (open_request* other = find(evicted->request)) {
+            other->calls[evicted->call].state = call_state::failed;
+        }
+    }
+}
+
 void gateway::apply_result(open_request& request, std::uint32_t call,
                            const exchange_ended& ended, time_point now,
                            gateway_commands& out)
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -99,6 +99,8 @@
                       gateway_commands& out);
     void retry_call(open_request& request, std::uint32_t call, time_point now,
                     gateway_commands& out);
+    /** Queues a call until a server takes it, if that may still be useful. */
+    void wait_for_server(open_request& request, std::uint32_t call);
     /** Starts or ends the held calls of a request, if that is decided. */
     void review_held_calls(open_request& request, time_point now,
                            gateway_commands& out);
@@ -136,6 +138,8 @@
     std::shared_ptr<const catalogue> m_settings;
     open_requests m_requests;
     due_queue<caller_token> m_due;
+    /** When servers that wanted no requests take them again. */
+    due_queue<service_id> m_reopenings;
     time_point m_next_sweep;
     time_point m_next_token_review = time_point::max();
 };
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -1,5 +1,7 @@
 #include "core/gateway_admission.hpp"
 
+#include "systems/queries/request_answer.hpp"
+
 #include <algorithm>
 
 namespace cranberrywood {
@@ -36,9 +38,10 @@
 
 gateway_admission::gateway_admission(rate_slices& rates, waiting_calls& waiting,
                                      const crash_quarantine& quarantine,
+                                     const server_choice& choice,
                                      random_source& random)
     : m_rates(rates), m_waiting(waiting), m_quarantine(quarantine),
-      m_random(random)
+      m_choice(choice), m_random(random)
 {
 }
 
@@ -85,6 +88,10 @@
         return refused_answer{refusal_reason::crashes_servers, *term};
     }
     request->calls = calls_for(*terms);
+    if (const auto opens = late_opening(*request, now)) {
+        return refused_answer{refusal_reason::no_server,
+                              std::max(min_retry_after, *opens - now)};
+    }
     if (const auto wait = excess_wait(*request, now)) {
         return refused_answer{refusal_reason::overloaded,
                               clamp_retry_after(*wait)};
@@ -102,6 +109,27 @@
     return request;
 }
 
+// Without this check the other shards of a query would do work for an answer
+// that cannot be given. A service without any usable server is left to the
+// sends, as it may be listed again at any moment.
+std::optional<time_point>
+gateway_admission::late_opening(const open_request& request,
+                                time_point now) const
+{
+    const std::size_t required = required_calls(request);
+    std::vector<time_point> openings;
+    for (const service_call& call : request.calls) {
+        openings.push_back(m_choice.opens_at(call.service, now).value_or(now));
+    }
+    const auto last_required =
+        openings.begin() + static_cast<std::ptrdiff_t>(required - 1);
+    std::nth_element(openings.begin(), last_required, openings.end());
+    if (*last_required < latest_useful_send(request)) {
+        return std::nullopt;
+    }
+    return *last_required;
+}
+
 // The service with the longest expected wait decides, since a request over
 // several shards completes with its slowest call.
 std::optional<duration>
--- a/src/core/gateway_admission.hpp
+++ b/src/core/gateway_admission.hpp
@@ -5,6 +5,7 @@
 #include "systems/queries/crash_quarantine.hpp"
 #include "systems/queries/waiting_calls.hpp"
 #include "systems/rates/rate_slices.hpp"
+#include "systems/servers/server_choice.hpp"
 
 #include <variant>
 
@@ -33,7 +34,7 @@
 public:
     gateway_admission(rate_slices& rates, waiting_calls& waiting,
                       const crash_quarantine& quarantine,
-                      random_source& random);
+                      const server_choice& choice, random_source& random);
 
     void catalogue_changed(std::shared_ptr<const catalogue> settings);
 
@@ -43,11 +44,15 @@
 private:
     std::optional<duration> excess_wait(const open_request& request,
                                         time_point now);
+    /** Returns when enough servers take requests, if that is too late. */
+    std::optional<time_point> late_opening(const open_request& request,
+                                           time_point now) const;
     std::vector<service_call> calls_for(const route& terms);
 
     rate_slices& m_rates;
     waiting_calls& m_waiting;
     const crash_quarantine& m_quarantine;
+    const server_choice& m_choice;
     random_source& m_random;
     std::shared_ptr<const catalogue> m_settings;
 };
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -77,6 +77,8 @@
     std::string receipt;
     /** Remaining warm-up time of the server, if it reports one. */
     std::optional<duration> cold_remaining;
+    /** Time for which the server wants no request from this VM. */
+    std::optional<duration> retry_after;
     std::shared_ptr<const relayed_message> message;
 
     bool success() const
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -38,6 +38,7 @@
     server_report_stale = 1504,
     server_suspected = 1505,
     send_lost = 1506,
+    server_closed = 1507,
     request_refused = 1601,
     request_not_served = 1602,
     request_malformed = 1603,
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -65,6 +65,7 @@
     const duration typical = typical_latency(criteria.service);
     std::vector<candidate> best;
     bool usable = false;
+    std::optional<time_point> reopens_at;
     for (const backend_server_id id : m_servers.of_service(criteria.service)) {
         const server_row& row = *m_servers.find(id);
         const bool tried =
@@ -73,6 +74,10 @@
         if (tried || !is_usable(row, now)) {
             continue;
         }
+        if (const time_point opens = row.closed_until; opens > now) {
+            reopens_at = std::min(opens, reopens_at.value_or(opens));
+            continue;
+        }
         const health_class health = health_of(row, now);
         if (criteria.extra && health != health_class::good) {
             continue;
@@ -91,11 +96,28 @@
                         row.entry.data_centre == criteria.own_data_centre,
                         cost_of(row, criteria.own_data_centre, typical, now)});
     }
-    if (best.empty()) {
-        return usable ? choice_result(all_at_capacity{})
+    if (!best.empty()) {
+        return choose_of(std::move(best));
+    }
+    if (usable) {
+        return all_at_capacity{};
+    }
+    return reopens_at ? choice_result(all_at_capacity{reopens_at})
                       : choice_result(no_usable_server{});
+}
+
+std::optional<time_point> server_choice::opens_at(service_id service,
+                                                  time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const backend_server_id id : m_servers.of_service(service)) {
+        const server_row& row = *m_servers.find(id);
+        if (is_usable(row, now)) {
+            const time_point opens = std::max(now, row.closed_until);
+            earliest = std::min(opens, earliest.value_or(opens));
+        }
     }
-    return choose_of(std::move(best));
+    return earliest;
 }
 
 // The first candidate is local if there is one: a VM then keeps its connections
--- a/src/systems/servers/server_choice.hpp
+++ b/src/systems/servers/server_choice.hpp
@@ -4,6 +4,7 @@
 #include "core/random_source.hpp"
 #include "tables/server_table.hpp"
 
+#include <optional>
 #include <set>
 #include <variant>
 
@@ -22,9 +23,14 @@
     bool extra = false;
 };
 
-/** Every usable backend server is at its limit of requests in flight. */
+/** No usable backend server takes a request now. */
 struct all_at_capacity
 {
+    /**
+     * When the first server takes requests again that wants none for a time;
+     * unset if others are only at their limit of requests in flight.
+     */
+    std::optional<time_point> reopens_at;
 };
 
 /** The service has no usable backend server. */
@@ -52,6 +58,13 @@
 
     choice_result choose(const choice_criteria& criteria, time_point now) const;
 
+    /**
+     * Returns when a service takes a request at the earliest: now, or when the
+     * first of its servers reopens; none if it has no usable server.
+     */
+    std::optional<time_point> opens_at(service_id service,
+                                       time_point now) const;
+
     /** Returns whether the server may get new requests. */
     bool is_usable(const server_row& row, time_point now) const;
     /** Returns whether an unanswered request makes the server suspect. */
--- a/src/systems/servers/server_directory.cpp
+++ b/src/systems/servers/server_directory.cpp
@@ -23,6 +23,8 @@
 /** Minimum and maximum time for which a failing server is avoided. */
 constexpr duration min_avoid = 150ms;
 constexpr duration max_avoid = 2400ms;
+/** Longest wait that a server can ask for. */
+constexpr duration max_closed = 10min;
 
 void log_server(log_code code, const backend_server_entry& entry,
                 const char* suffix, gateway_commands& out)
@@ -183,6 +185,16 @@
     }
 }
 
+// Answers may overtake each other, so the longest wait holds.
+void server_observer::closed(backend_server_id server, duration wait,
+                             time_point now)
+{
+    if (server_row* row = m_servers.find(server)) {
+        row->closed_until =
+            std::max(row->closed_until, now + std::min(wait, max_closed));
+    }
+}
+
 void server_observer::failed(backend_server_id server, exchange_id exchange,
                              time_point now)
 {
--- a/src/systems/servers/server_directory.hpp
+++ b/src/systems/servers/server_directory.hpp
@@ -55,6 +55,8 @@
                   time_point now);
     /** Records how long the server reports that it stays cold. */
     void cold(backend_server_id server, duration remaining, time_point now);
+    /** Records that the server wants no request for some time. */
+    void closed(backend_server_id server, duration wait, time_point now);
     /** Records a failed connection or an invalid answer. */
     void failed(backend_server_id server, exchange_id exchange, time_point now);
     /** Records that the exchange was cancelled before an answer arrived. */
--- a/src/tables/open_request.hpp
+++ b/src/tables/open_request.hpp
@@ -46,6 +46,8 @@
     std::vector<call_send> sends;
     /** Not sent before another call of the request has shown to be harmless. */
     bool held = false;
+    /** When a server of the service takes requests again, if none does now. */
+    std::optional<time_point> reopens_at;
     /** Time before which no hedge is tried; set after one that had to wait. */
     time_point no_hedge_before;
     /** Answer that the caller gets: a success, or the last failure. */
--- a/src/tables/server_table.cpp
+++ b/src/tables/server_table.cpp
@@ -40,6 +40,7 @@
         row.avoid_until = time_point();
         row.suspicions_in_row = 0;
         row.suspected_until = time_point();
+        row.closed_until = time_point();
     }
     row.cold_until = entry.cold_remaining > duration(0)
                          ? now + entry.cold_remaining
--- a/src/tables/server_table.hpp
+++ b/src/tables/server_table.hpp
@@ -34,6 +34,8 @@
     /** Until when it gets no first sends as it is paused or slow. */
     time_point suspected_until;
     std::uint32_t suspicions_in_row = 0;
+    /** Until when it has asked this VM to send nothing. */
+    time_point closed_until;
     /** Smoothed time between two sends of this VM; 0 before the second. */
     duration send_gap{0};
     time_point last_sent_at;
--- a/src/tests/platform/http_adapter_test.cpp
+++ b/src/tests/platform/http_adapter_test.cpp
@@ -50,6 +50,16 @@
     }
 };
 
+TEST(http_adapter, reads_how_long_a_server_wants_no_requests)
+{
+    http_response r = response(503);
+    CHECK(!adapter.read_answer(http_response(r)).retry_after);
+    r.set(http::field::retry_after, "1.5");
+    CHECK(adapter.read_answer(http_response(r)).retry_after == 1500ms);
+    r.set(http::field::retry_after, "soon");
+    CHECK(!adapter.read_answer(http_response(r)).retry_after);
+}
+
 TEST(http_adapter, reads_a_request)
 {
     const request_received asked = read(request());
