Limits that servers name are read, logged and told to peers' tables

Change: server_limits keeps each server's limit and how a VM would share it; log event 1508. Nothing keeps to it yet.

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -57,9 +57,9 @@
 
 call_sender::call_sender(const gateway_settings& settings,
                          server_table& servers, server_choice& choice,
-                         server_suspicions& suspicions)
+                         server_limits& limits, server_suspicions& suspicions)
     : m_settings(settings), m_servers(servers), m_choice(choice),
-      m_suspicions(suspicions), m_observer(servers),
+      m_server_limits(limits), m_suspicions(suspicions), m_observer(servers),
       m_vms(settings.member.assumed_vms),
       m_extra_sends({settings.extra_send_percent, settings.extra_send_allowance,
                      settings.first_start},
@@ -150,14 +150,8 @@
     const auto* answer = std::get_if<backend_answer>(&ended.result);
     const bool failed = answer == nullptr || answer->misdirected ||
                         (answer->status >= 500 && !answer->not_run);
-    if (answer != nullptr && answer->retry_after && !answer->misdirected &&
-        answer->status == service_unavailable) {
-        m_observer.closed(row.server, *answer->retry_after, now);
-        log_closed_server(row, name_of_server(row.server), *answer->retry_after,
-                          out);
-    }
-    if (answer != nullptr && answer->cold_remaining && !answer->misdirected) {
-        m_observer.cold(row.server, *answer->cold_remaining, now);
+    if (answer != nullptr && !answer->misdirected) {
+        observe_wishes(row, *answer, now, out);
     }
     if (failed) {
         observe_failure(row, ended, now, out);
@@ -171,6 +165,21 @@
     }
 }
 
+void call_sender::observe_wishes(const exchange_row& row,
+                                 const backend_answer& answer, time_point now,
+                                 gateway_commands& out)
+{
+    m_server_limits.observe(row.server, answer.limit, row.sent_at, now, out);
+    if (answer.retry_after && answer.status == service_unavailable) {
+        m_observer.closed(row.server, *answer.retry_after, now);
+        log_closed_server(row, name_of_server(row.server), *answer.retry_after,
+                          out);
+    }
+    if (answer.cold_remaining) {
+        m_observer.cold(row.server, *answer.cold_remaining, now);
+    }
+}
+
 // A server may close an idle connection at any time, so a request that is lost
 // to such a close is not counted as a failure of the server.
 void call_sender::observe_failure(const exchange_row& row,
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -8,6 +8,7 @@
 #include "systems/queries/waiting_calls.hpp"
 #include "systems/servers/server_choice.hpp"
 #include "systems/servers/server_directory.hpp"
+#include "systems/servers/server_limits.hpp"
 #include "systems/servers/server_suspicions.hpp"
 #include "tables/due_queue.hpp"
 
@@ -56,7 +57,8 @@
 {
 public:
     call_sender(const gateway_settings& settings, server_table& servers,
-                server_choice& choice, server_suspicions& suspicions);
+                server_choice& choice, server_limits& limits,
+                server_suspicions& suspicions);
 
     void catalogue_changed(std::shared_ptr<const catalogue> limits);
     void fleet_changed(std::uint32_t vms);
@@ -97,6 +99,9 @@
     std::uint32_t max_in_flight(service_id service) const;
     void observe(const exchange_row& row, const exchange_ended& ended,
                  time_point now, gateway_commands& out);
+    /** Applies what the server says of the requests that it takes. */
+    void observe_wishes(const exchange_row& row, const backend_answer& answer,
+                        time_point now, gateway_commands& out);
     void observe_failure(const exchange_row& row, const exchange_ended& ended,
                          time_point now, gateway_commands& out);
 
@@ -105,6 +110,7 @@
     gateway_settings m_settings;
     server_table& m_servers;
     server_choice& m_choice;
+    server_limits& m_server_limits;
     server_suspicions& m_suspicions;
     server_observer m_observer;
     route_latency_estimate m_latencies;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -37,9 +37,9 @@
 gateway::gateway(const gateway_settings& settings, random_source& random,
                  time_point now)
     : m_members(settings.member, random, now), m_rates(m_members),
-      m_directory(m_servers), m_suspicions(m_servers),
-      m_choice(m_servers, random),
-      m_sender(settings, m_servers, m_choice, m_suspicions),
+      m_directory(m_servers), m_server_limits(m_servers, m_members),
+      m_suspicions(m_servers), m_choice(m_servers, random),
+      m_sender(settings, m_servers, m_choice, m_server_limits, m_suspicions),
       m_crash_watch(m_servers, m_quarantine),
       m_admission(m_rates, m_waiting, m_quarantine, m_choice, random),
       m_peers(m_members, incarnation(random.next() | 1U), m_rates, m_quarantine,
@@ -75,6 +75,7 @@
         m_next_sweep = now + sweep_interval;
         m_directory.drop_unlisted(now);
         m_quarantine.drop_expired(now);
+        m_server_limits.drop_expired(now);
         serve_all_waiting(now, out);
     }
     broadcast_news(now, out);
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -125,6 +125,7 @@
     token_waiters m_token_waiters;
     server_table m_servers;
     server_directory m_directory;
+    server_limits m_server_limits;
     server_suspicions m_suspicions;
     server_choice m_choice;
     waiting_calls m_waiting;
--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -46,6 +46,18 @@
     duration term{0};
 };
 
+/** Reports how many requests a second a server takes from all VMs. */
+struct server_limit_report
+{
+    backend_server_id server;
+    /** False: the server limits requests no longer. */
+    bool limited = false;
+    /** Thousandths of a request a second. */
+    std::uint64_t milli_per_second = 0;
+    /** Time since the server said so. */
+    duration age{0};
+};
+
 /** Reports that a backend server crashed while it had a request. */
 struct crash_report
 {
@@ -81,6 +93,7 @@
     std::vector<token_ask> asks;
     std::vector<token_grant> grants;
     std::vector<server_suspicion> suspicions;
+    std::vector<server_limit_report> limits;
     std::vector<crash_report> crashes;
     std::vector<crash_clearance> clearances;
 
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -79,6 +79,9 @@
     std::optional<duration> cold_remaining;
     /** Time for which the server wants no request from this VM. */
     std::optional<duration> retry_after;
+    /** Requests a second that the server takes from all VMs, if it limits them.
+     */
+    std::optional<double> limit;
     std::shared_ptr<const relayed_message> message;
 
     bool success() const
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -39,6 +39,7 @@
     server_suspected = 1505,
     send_lost = 1506,
     server_closed = 1507,
+    server_limit_changed = 1508,
     request_refused = 1601,
     request_not_served = 1602,
     request_malformed = 1603,
--- a/src/tests/loop/gateway_codec_test.cpp
+++ b/src/tests/loop/gateway_codec_test.cpp
@@ -23,6 +23,7 @@
     datagram.asks = {{5, workspace_id(9), 3}};
     datagram.grants = {{6, workspace_id(9), 2, 1s}};
     datagram.suspicions = {{backend_server_id(31), 150ms}};
+    datagram.limits = {{backend_server_id(31), true, 6900, 20ms}};
     datagram.crashes = {{fingerprint(1ULL << 63U), backend_server_id(31),
                          service_id(4), 9ms, 4ms, 2}};
     datagram.clearances = {{fingerprint(12), service_id(4), 30ms}};
@@ -60,6 +61,10 @@
     CHECK(datagram.grants[0].term == duration(1s));
     CHECK(datagram.suspicions[0].server == backend_server_id(31));
     CHECK(datagram.suspicions[0].term == duration(150ms));
+    CHECK(datagram.limits[0].server == backend_server_id(31));
+    CHECK(datagram.limits[0].limited);
+    CHECK_EQUAL(6900U, datagram.limits[0].milli_per_second);
+    CHECK(datagram.limits[0].age == duration(20ms));
     const crash_report& crash = datagram.crashes[0];
     CHECK(crash.print == fingerprint(1ULL << 63U));
     CHECK(crash.server == backend_server_id(31));
--- a/src/tests/platform/http_adapter_test.cpp
+++ b/src/tests/platform/http_adapter_test.cpp
@@ -50,6 +50,17 @@
     }
 };
 
+TEST(http_adapter, reads_the_limit_that_a_server_names)
+{
+    http_response r = response(200);
+    CHECK(!adapter.read_answer(http_response(r)).limit);
+    r.set("Server-Limit", "6.9");
+    DOUBLES_EQUAL(6.9, adapter.read_answer(http_response(r)).limit.value(),
+                  1e-9);
+    r.set("Server-Limit", "many");
+    CHECK(!adapter.read_answer(http_response(r)).limit);
+}
+
 TEST(http_adapter, reads_how_long_a_server_wants_no_requests)
 {
     http_response r = response(503);
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -49,6 +49,13 @@
   3: i64 sent_age
 }
 
+struct server_limit_report {
+  1: i64 server
+  2: bool limited
+  3: i64 milli_per_second
+  4: i64 age
+}
+
 struct gateway_datagram {
   1: i64 process
   2: i32 fleet_size
@@ -61,6 +68,7 @@
   8: list<packed_member> packed_members
   9: list<crash_report> crashes
   10: list<crash_clearance> clearances
+  11: list<server_limit_report> limits
 }
 
 struct mirrored_item {
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -73,6 +73,16 @@
     copy(c.sent_age, w.sent_age);
 }
 
+template <class D>
+void copy_fields(D& copy, typename D::template core<server_limit_report> c,
+                 typename D::template wired<wire::server_limit_report> w)
+{
+    copy(c.server, w.server);
+    copy(c.limited, w.limited);
+    copy(c.milli_per_second, w.milli_per_second);
+    copy(c.age, w.age);
+}
+
 template <class D>
 void copy_fields(D& copy, typename D::template core<gateway_datagram> c,
                  typename D::template wired<wire::gateway_datagram> w)
@@ -87,6 +97,7 @@
     copy(c.suspicions, w.suspicions);
     copy(c.crashes, w.crashes);
     copy(c.clearances, w.clearances);
+    copy(c.limits, w.limits);
 }
 
 template <class D>
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -958,6 +958,158 @@
 }
 
 
+server_limit_report::~server_limit_report() noexcept {
+}
+
+
+void server_limit_report::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void server_limit_report::__set_limited(const bool val) {
+  this->limited = val;
+}
+
+void server_limit_report::__set_milli_per_second(const int64_t val) {
+  this->milli_per_second = val;
+}
+
+void server_limit_report::__set_age(const int64_t val) {
+  this->age = val;
+}
+std::ostream& operator<<(std::ostream& out, const server_limit_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t server_limit_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->limited);
+          this->__isset.limited = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milli_per_second);
+          this->__isset.milli_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t server_limit_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("server_limit_report");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limited", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->limited);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("milli_per_second", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->milli_per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(server_limit_report &a, server_limit_report &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.limited, b.limited);
+  swap(a.milli_per_second, b.milli_per_second);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+server_limit_report::server_limit_report(const server_limit_report& other14) noexcept {
+  server = other14.server;
+  limited = other14.limited;
+  milli_per_second = other14.milli_per_second;
+  age = other14.age;
+  __isset = other14.__isset;
+}
+server_limit_report& server_limit_report::operator=(const server_limit_report& other15) noexcept {
+  server = other15.server;
+  limited = other15.limited;
+  milli_per_second = other15.milli_per_second;
+  age = other15.age;
+  __isset = other15.__isset;
+  return *this;
+}
+void server_limit_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "server_limit_report(";
+  out << "server=" << to_string(server);
+  out << ", " << "limited=" << to_string(limited);
+  out << ", " << "milli_per_second=" << to_string(milli_per_second);
+  out << ", " << "age=" << to_string(age);
+  out << ")";
+}
+
+
 gateway_datagram::~gateway_datagram() noexcept {
 }
 
@@ -1001,6 +1153,10 @@
 void gateway_datagram::__set_clearances(const std::vector<crash_clearance> & val) {
   this->clearances = val;
 }
+
+void gateway_datagram::__set_limits(const std::vector<server_limit_report> & val) {
+  this->limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
 {
   obj.printTo(out);
@@ -1057,14 +1213,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->members.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->members.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->members[_i18].read(iprot);
+              xfer += this->members[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1077,14 +1233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->asks.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->asks.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              xfer += this->asks[_i23].read(iprot);
+              xfer += this->asks[_i25].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1097,14 +1253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->grants.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->grants.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->grants[_i28].read(iprot);
+              xfer += this->grants[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1117,14 +1273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->suspicions.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->suspicions.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->suspicions[_i33].read(iprot);
+              xfer += this->suspicions[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1137,14 +1293,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->packed_members.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->packed_members.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->packed_members.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->packed_members[_i38].read(iprot);
+              xfer += this->packed_members[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1157,14 +1313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->crashes.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->crashes.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->crashes[_i43].read(iprot);
+              xfer += this->crashes[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1177,14 +1333,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->clearances.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->clearances.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->clearances.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->clearances[_i48].read(iprot);
+              xfer += this->clearances[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1193,6 +1349,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->limits.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
+            {
+              xfer += this->limits[_i55].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1225,10 +1401,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<member_hint> ::const_iterator _iter49;
-    for (_iter49 = this->members.begin(); _iter49 != this->members.end(); ++_iter49)
+    std::vector<member_hint> ::const_iterator _iter56;
+    for (_iter56 = this->members.begin(); _iter56 != this->members.end(); ++_iter56)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1237,10 +1413,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<token_ask> ::const_iterator _iter50;
-    for (_iter50 = this->asks.begin(); _iter50 != this->asks.end(); ++_iter50)
+    std::vector<token_ask> ::const_iterator _iter57;
+    for (_iter57 = this->asks.begin(); _iter57 != this->asks.end(); ++_iter57)
     {
-      xfer += (*_iter50).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1249,10 +1425,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<token_grant> ::const_iterator _iter51;
-    for (_iter51 = this->grants.begin(); _iter51 != this->grants.end(); ++_iter51)
+    std::vector<token_grant> ::const_iterator _iter58;
+    for (_iter58 = this->grants.begin(); _iter58 != this->grants.end(); ++_iter58)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1261,10 +1437,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<server_suspicion> ::const_iterator _iter52;
-    for (_iter52 = this->suspicions.begin(); _iter52 != this->suspicions.end(); ++_iter52)
+    std::vector<server_suspicion> ::const_iterator _iter59;
+    for (_iter59 = this->suspicions.begin(); _iter59 != this->suspicions.end(); ++_iter59)
     {
-      xfer += (*_iter52).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1273,10 +1449,10 @@
   xfer += oprot->writeFieldBegin("packed_members", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packed_members.size()));
-    std::vector<packed_member> ::const_iterator _iter53;
-    for (_iter53 = this->packed_members.begin(); _iter53 != this->packed_members.end(); ++_iter53)
+    std::vector<packed_member> ::const_iterator _iter60;
+    for (_iter60 = this->packed_members.begin(); _iter60 != this->packed_members.end(); ++_iter60)
     {
-      xfer += (*_iter53).write(oprot);
+      xfer += (*_iter60).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1285,10 +1461,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash_report> ::const_iterator _iter54;
-    for (_iter54 = this->crashes.begin(); _iter54 != this->crashes.end(); ++_iter54)
+    std::vector<crash_report> ::const_iterator _iter61;
+    for (_iter61 = this->crashes.begin(); _iter61 != this->crashes.end(); ++_iter61)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1297,10 +1473,22 @@
   xfer += oprot->writeFieldBegin("clearances", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->clearances.size()));
-    std::vector<crash_clearance> ::const_iterator _iter55;
-    for (_iter55 = this->clearances.begin(); _iter55 != this->clearances.end(); ++_iter55)
+    std::vector<crash_clearance> ::const_iterator _iter62;
+    for (_iter62 = this->clearances.begin(); _iter62 != this->clearances.end(); ++_iter62)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter62).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<server_limit_report> ::const_iterator _iter63;
+    for (_iter63 = this->limits.begin(); _iter63 != this->limits.end(); ++_iter63)
+    {
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1323,34 +1511,37 @@
   swap(a.packed_members, b.packed_members);
   swap(a.crashes, b.crashes);
   swap(a.clearances, b.clearances);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-gateway_datagram::gateway_datagram(const gateway_datagram& other56) {
-  process = other56.process;
-  fleet_size = other56.fleet_size;
-  settled = other56.settled;
-  members = other56.members;
-  asks = other56.asks;
-  grants = other56.grants;
-  suspicions = other56.suspicions;
-  packed_members = other56.packed_members;
-  crashes = other56.crashes;
-  clearances = other56.clearances;
-  __isset = other56.__isset;
-}
-gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other57) {
-  process = other57.process;
-  fleet_size = other57.fleet_size;
-  settled = other57.settled;
-  members = other57.members;
-  asks = other57.asks;
-  grants = other57.grants;
-  suspicions = other57.suspicions;
-  packed_members = other57.packed_members;
-  crashes = other57.crashes;
-  clearances = other57.clearances;
-  __isset = other57.__isset;
+gateway_datagram::gateway_datagram(const gateway_datagram& other64) {
+  process = other64.process;
+  fleet_size = other64.fleet_size;
+  settled = other64.settled;
+  members = other64.members;
+  asks = other64.asks;
+  grants = other64.grants;
+  suspicions = other64.suspicions;
+  packed_members = other64.packed_members;
+  crashes = other64.crashes;
+  clearances = other64.clearances;
+  limits = other64.limits;
+  __isset = other64.__isset;
+}
+gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other65) {
+  process = other65.process;
+  fleet_size = other65.fleet_size;
+  settled = other65.settled;
+  members = other65.members;
+  asks = other65.asks;
+  grants = other65.grants;
+  suspicions = other65.suspicions;
+  packed_members = other65.packed_members;
+  crashes = other65.crashes;
+  clearances = other65.clearances;
+  limits = other65.limits;
+  __isset = other65.__isset;
   return *this;
 }
 void gateway_datagram::printTo(std::ostream& out) const {
@@ -1366,6 +1557,7 @@
   out << ", " << "packed_members=" << to_string(packed_members);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "clearances=" << to_string(clearances);
+  out << ", " << "limits=" << to_string(limits);
   out << ")";
 }
 
@@ -1496,19 +1688,19 @@
   swap(a.__isset, b.__isset);
 }
 
-mirrored_item::mirrored_item(const mirrored_item& other58) {
-  key = other58.key;
-  revision = other58.revision;
-  removed = other58.removed;
-  bytes = other58.bytes;
-  __isset = other58.__isset;
+mirrored_item::mirrored_item(const mirrored_item& other66) {
+  key = other66.key;
+  revision = other66.revision;
+  removed = other66.removed;
+  bytes = other66.bytes;
+  __isset = other66.__isset;
 }
-mirrored_item& mirrored_item::operator=(const mirrored_item& other59) {
-  key = other59.key;
-  revision = other59.revision;
-  removed = other59.removed;
-  bytes = other59.bytes;
-  __isset = other59.__isset;
+mirrored_item& mirrored_item::operator=(const mirrored_item& other67) {
+  key = other67.key;
+  revision = other67.revision;
+  removed = other67.removed;
+  bytes = other67.bytes;
+  __isset = other67.__isset;
   return *this;
 }
 void mirrored_item::printTo(std::ostream& out) const {
@@ -1617,14 +1809,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->items.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->items.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->items[_i64].read(iprot);
+              xfer += this->items[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1685,10 +1877,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<mirrored_item> ::const_iterator _iter65;
-    for (_iter65 = this->items.begin(); _iter65 != this->items.end(); ++_iter65)
+    std::vector<mirrored_item> ::const_iterator _iter73;
+    for (_iter73 = this->items.begin(); _iter73 != this->items.end(); ++_iter73)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1719,25 +1911,25 @@
   swap(a.__isset, b.__isset);
 }
 
-mirror_update::mirror_update(const mirror_update& other66) {
-  place = other66.place;
-  process = other66.process;
-  whole = other66.whole;
-  store_steady = other66.store_steady;
-  items = other66.items;
-  at = other66.at;
-  store_reachable = other66.store_reachable;
-  __isset = other66.__isset;
-}
-mirror_update& mirror_update::operator=(const mirror_update& other67) {
-  place = other67.place;
-  process = other67.process;
-  whole = other67.whole;
-  store_steady = other67.store_steady;
-  items = other67.items;
-  at = other67.at;
-  store_reachable = other67.store_reachable;
-  __isset = other67.__isset;
+mirror_update::mirror_update(const mirror_update& other74) {
+  place = other74.place;
+  process = other74.process;
+  whole = other74.whole;
+  store_steady = other74.store_steady;
+  items = other74.items;
+  at = other74.at;
+  store_reachable = other74.store_reachable;
+  __isset = other74.__isset;
+}
+mirror_update& mirror_update::operator=(const mirror_update& other75) {
+  place = other75.place;
+  process = other75.process;
+  whole = other75.whole;
+  store_steady = other75.store_steady;
+  items = other75.items;
+  at = other75.at;
+  store_reachable = other75.store_reachable;
+  __isset = other75.__isset;
   return *this;
 }
 void mirror_update::printTo(std::ostream& out) const {
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -35,6 +35,8 @@
 
 class crash_clearance;
 
+class server_limit_report;
+
 class gateway_datagram;
 
 class mirrored_item;
@@ -450,8 +452,72 @@
 
 std::ostream& operator<<(std::ostream& out, const crash_clearance& obj);
 
+typedef struct _server_limit_report__isset {
+  _server_limit_report__isset() : server(false), limited(false), milli_per_second(false), age(false) {}
+  bool server :1;
+  bool limited :1;
+  bool milli_per_second :1;
+  bool age :1;
+} _server_limit_report__isset;
+
+class server_limit_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  server_limit_report(const server_limit_report&) noexcept;
+  server_limit_report& operator=(const server_limit_report&) noexcept;
+  server_limit_report() noexcept
+                      : server(0),
+                        limited(0),
+                        milli_per_second(0),
+                        age(0) {
+  }
+
+  virtual ~server_limit_report() noexcept;
+  int64_t server;
+  bool limited;
+  int64_t milli_per_second;
+  int64_t age;
+
+  _server_limit_report__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_limited(const bool val);
+
+  void __set_milli_per_second(const int64_t val);
+
+  void __set_age(const int64_t val);
+
+  bool operator == (const server_limit_report & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(limited == rhs.limited))
+      return false;
+    if (!(milli_per_second == rhs.milli_per_second))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    return true;
+  }
+  bool operator != (const server_limit_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const server_limit_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(server_limit_report &a, server_limit_report &b);
+
+std::ostream& operator<<(std::ostream& out, const server_limit_report& obj);
+
 typedef struct _gateway_datagram__isset {
-  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false) {}
+  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false) {}
   bool process :1;
   bool fleet_size :1;
   bool settled :1;
@@ -462,6 +528,7 @@
   bool packed_members :1;
   bool crashes :1;
   bool clearances :1;
+  bool limits :1;
 } _gateway_datagram__isset;
 
 class gateway_datagram : public virtual ::apache::thrift::TBase {
@@ -486,6 +553,7 @@
   std::vector<packed_member>  packed_members;
   std::vector<crash_report>  crashes;
   std::vector<crash_clearance>  clearances;
+  std::vector<server_limit_report>  limits;
 
   _gateway_datagram__isset __isset;
 
@@ -509,6 +577,8 @@
 
   void __set_clearances(const std::vector<crash_clearance> & val);
 
+  void __set_limits(const std::vector<server_limit_report> & val);
+
   bool operator == (const gateway_datagram & rhs) const
   {
     if (!(process == rhs.process))
@@ -531,6 +601,8 @@
       return false;
     if (!(clearances == rhs.clearances))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const gateway_datagram &rhs) const {
--- a/tools/check-style.sh
+++ b/tools/check-style.sh
@@ -20,7 +20,7 @@
 fi
 # Names of the platform stand in platform/ and in the tests only: headers and
 # keys as such, fields as texts, since a constant may be called like a field.
-if git grep -nE 'Api-Key|Part-Stamps|Missing-Parts|Response-Stamp|Not-Executed|Target-Instance|Request-Deadline|Cold-Remaining|op/config|op/evacuate|kv-(key|range|watch)|"(target_latency_ms|min_shard_share|traffic_split|route_type|max_attempts|top_k|api_keys|cold_remaining_ms|store_revision)"' \
+if git grep -nE 'Api-Key|Part-Stamps|Missing-Parts|Response-Stamp|Not-Executed|Target-Instance|Request-Deadline|Cold-Remaining|Server-Limit|Server-Leaving|op/config|op/evacuate|kv-(key|range|watch)|"(target_latency_ms|min_shard_share|traffic_split|route_type|max_attempts|top_k|api_keys|cold_remaining_ms|store_revision)"' \
     -- src ':!src/tests'; then
   echo "a name of the platform stands outside platform/" >&2
   exit 1
