Heartbeats name the last strikes of a refused request

Cause: a heartbeat repeated the first crashes of a request; of a query that crashed ten shards at once these are one strike, so a VM that started did not hear that it is refused. Heartbeats of 80 hints and eight crashes also passed the size of a datagram on one frame. Change: one crash for each strike, the last first, four at most. Evidence: crash_quarantine_test, a_heartbeat_names_the_last_strikes_of_a_query.

--- a/src/systems/queries/crash_quarantine.cpp
+++ b/src/systems/queries/crash_quarantine.cpp
@@ -28,14 +28,14 @@
 constexpr std::size_t max_crashes = 32;
 constexpr std::size_t max_rows = 4096;
 /** Crashes in a heartbeat, 40 bytes each. */
-constexpr std::size_t max_repeated = 8;
+constexpr std::size_t max_repeated = 4;
 /** Bound on ages in reports of peers. */
 constexpr duration max_age = memory_time;
 /** Clearances kept, for how long, and how many a heartbeat repeats. */
 constexpr std::size_t max_cleared = 256;
 constexpr duration clearance_time = 60s;
 constexpr duration clearance_repeat_time = 10s;
-constexpr std::size_t max_repeated_clearances = 4;
+constexpr std::size_t max_repeated_clearances = 2;
 /** Time that a report may have been on its way. */
 constexpr duration report_delay = 50ms;
 
@@ -155,7 +155,8 @@
 }
 
 // Heartbeats repeat what a lost datagram, a partition or a restart has kept
-// from a VM. Each carries the next few requests that are refused.
+// from a VM: of the next few requests that are refused one crash for each
+// strike, the last ones first.
 std::vector<crash_report> crash_quarantine::reports_to_repeat(time_point now)
 {
     std::vector<crash_report> reports;
@@ -166,13 +167,14 @@
         if (r.strikes < refusal_strikes) {
             continue;
         }
-        if (reports.size() + r.crashes.size() > max_repeated &&
-            !reports.empty()) {
+        if (reports.size() + refusal_strikes > max_repeated) {
             break;
         }
-        for (const request_crash& crash : r.crashes) {
-            if (reports.size() < max_repeated) {
-                reports.push_back(report_of(crash, now));
+        std::uint32_t strike = r.strikes + 1;
+        for (auto c = r.crashes.rbegin(); c != r.crashes.rend(); ++c) {
+            if (c->strike < strike && reports.size() < max_repeated) {
+                strike = c->strike;
+                reports.push_back(report_of(*c, now));
             }
         }
         m_last_repeated = it->first;
--- a/src/tests/crash_quarantine_test.cpp
+++ b/src/tests/crash_quarantine_test.cpp
@@ -129,6 +129,17 @@
     CHECK(peer.refused_for(print, start + 502ms).has_value());
 }
 
+TEST(crash_quarantine, a_heartbeat_names_the_last_strikes_of_a_query)
+{
+    for (std::uint64_t shard = 1; shard <= 20; ++shard) {
+        record(shard, 0, 5);
+    }
+    record(21, 6, 9);
+    peer.apply_remote("vm", vm.reports_to_repeat(start + 500ms), {},
+                      start + 500ms, out);
+    CHECK(peer.refused_for(print, start + 500ms).has_value());
+}
+
 TEST(crash_quarantine, every_refused_request_is_repeated_in_turn)
 {
     constexpr std::uint64_t requests = 50;
@@ -139,9 +150,9 @@
             vm.record_crash(c, start + 20ms, out);
         }
     }
-    for (int heartbeat = 0; heartbeat < 13; ++heartbeat) {
+    for (int heartbeat = 0; heartbeat < 25; ++heartbeat) {
         const auto reports = vm.reports_to_repeat(start + 30ms);
-        CHECK(reports.size() <= 8);
+        CHECK(reports.size() <= 4);
         peer.apply_remote("vm", reports, {}, start + 30ms, out);
     }
     CHECK_EQUAL(requests, peer.size());
