VMs keep to the limit of requests that a server names

Change: server_limits is asked at each choice of a server; its limits are told to peers and repeated in heartbeats. Ruled out: slices passed by the sum of VMs, hedges or new VMs (no VM had any).

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -120,6 +120,7 @@
                              now,
                              false};
     m_observer.sent(server, exchange, now);
+    m_server_limits.record_sent(server, now);
     c.sends.push_back({exchange, server, now, true, false});
     c.state = call_state::sent;
     out.push_back(start_exchange{exchange, server, row.entry.address,
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -38,12 +38,12 @@
                  time_point now)
     : m_members(settings.member, random, now), m_rates(m_members),
       m_directory(m_servers), m_server_limits(m_servers, m_members),
-      m_suspicions(m_servers), m_choice(m_servers, random),
+      m_suspicions(m_servers), m_choice(m_servers, m_server_limits, random),
       m_sender(settings, m_servers, m_choice, m_server_limits, m_suspicions),
       m_crash_watch(m_servers, m_quarantine),
       m_admission(m_rates, m_waiting, m_quarantine, m_choice, random),
-      m_peers(m_members, incarnation(random.next() | 1U), m_rates, m_quarantine,
-              now)
+      m_peers(m_members, incarnation(random.next() | 1U), m_rates,
+              m_server_limits, m_quarantine, now)
 {
 }
 
@@ -286,6 +286,7 @@
     for (const backend_server_id server :
          m_directory.reported(report, now, out)) {
         m_crash_watch.server_started(server, now, out);
+        m_server_limits.forget(server);
     }
     serve_all_waiting(now, out);
 }
@@ -315,6 +316,8 @@
     m_peers.received(datagram, now, out);
     m_suspicions.apply_remote(datagram.from, datagram.datagram.suspicions, now,
                               out);
+    m_server_limits.apply_remote(datagram.from, datagram.datagram.limits, now,
+                                 out);
     m_quarantine.apply_remote(datagram.from, datagram.datagram.crashes,
                               datagram.datagram.clearances, now, out);
     update_fleet_size(now, out);
@@ -546,10 +549,11 @@
 {
     gateway_datagram news;
     news.suspicions = m_suspicions.take_local_suspicions();
+    news.limits = m_server_limits.take_reports(now);
     news.crashes = m_quarantine.take_reports(now);
     news.clearances = m_quarantine.take_clearances(now);
-    if (!news.suspicions.empty() || !news.crashes.empty() ||
-        !news.clearances.empty()) {
+    if (!news.suspicions.empty() || !news.limits.empty() ||
+        !news.crashes.empty() || !news.clearances.empty()) {
         m_peers.broadcast(std::move(news), now, out);
     }
 }
--- a/src/core/gateway_peers.cpp
+++ b/src/core/gateway_peers.cpp
@@ -24,10 +24,10 @@
 } // namespace
 
 gateway_peers::gateway_peers(member_directory& members, incarnation process,
-                             rate_slices& rates, crash_quarantine& quarantine,
-                             time_point now)
-    : m_process(process), m_rates(rates), m_quarantine(quarantine),
-      m_members(members), m_next_heartbeat(now),
+                             rate_slices& rates, server_limits& limits,
+                             crash_quarantine& quarantine, time_point now)
+    : m_process(process), m_rates(rates), m_limits(limits),
+      m_quarantine(quarantine), m_members(members), m_next_heartbeat(now),
       m_next_asks(now + ask_interval), m_news_budget(now)
 {
 }
@@ -78,6 +78,7 @@
     datagram.process = m_process;
     m_members.fill(datagram, now);
     m_members.add_hints(datagram, now);
+    datagram.limits = m_limits.reports_to_repeat(now);
     datagram.crashes = m_quarantine.reports_to_repeat(now);
     datagram.clearances = m_quarantine.clearances_to_repeat(now);
     return datagram;
--- a/src/core/gateway_peers.hpp
+++ b/src/core/gateway_peers.hpp
@@ -5,6 +5,7 @@
 #include "systems/members/member_directory.hpp"
 #include "systems/queries/crash_quarantine.hpp"
 #include "systems/rates/rate_slices.hpp"
+#include "systems/servers/server_limits.hpp"
 
 namespace cranberrywood {
 
@@ -16,8 +17,8 @@
 {
 public:
     gateway_peers(member_directory& members, incarnation process,
-                  rate_slices& rates, crash_quarantine& quarantine,
-                  time_point now);
+                  rate_slices& rates, server_limits& limits,
+                  crash_quarantine& quarantine, time_point now);
 
     void received(const datagram_received& event, time_point now,
                   gateway_commands& out);
@@ -36,6 +37,7 @@
 
     incarnation m_process;
     rate_slices& m_rates;
+    server_limits& m_limits;
     crash_quarantine& m_quarantine;
     member_directory& m_members;
     time_point m_next_heartbeat;
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-server_choice::server_choice(const server_table& servers, random_source& random)
-    : m_servers(servers), m_random(random)
+server_choice::server_choice(const server_table& servers,
+                             const server_limits& limits, random_source& random)
+    : m_servers(servers), m_limits(limits), m_random(random)
 {
 }
 
@@ -74,7 +75,7 @@
         if (tried || !is_usable(row, now)) {
             continue;
         }
-        if (const time_point opens = row.closed_until; opens > now) {
+        if (const time_point opens = opening_of(row, now); opens > now) {
             reopens_at = std::min(opens, reopens_at.value_or(opens));
             continue;
         }
@@ -113,13 +114,20 @@
     for (const backend_server_id id : m_servers.of_service(service)) {
         const server_row& row = *m_servers.find(id);
         if (is_usable(row, now)) {
-            const time_point opens = std::max(now, row.closed_until);
+            const time_point opens = opening_of(row, now);
             earliest = std::min(opens, earliest.value_or(opens));
         }
     }
     return earliest;
 }
 
+time_point server_choice::opening_of(const server_row& row,
+                                     time_point now) const
+{
+    return std::max(
+        {now, row.closed_until, m_limits.opens_at(row.entry.id, now)});
+}
+
 // The first candidate is local if there is one: a VM then keeps its connections
 // to few servers busy, and most answers stay in the data centre. The second one
 // takes over when the first is slow or busy.
--- a/src/systems/servers/server_choice.hpp
+++ b/src/systems/servers/server_choice.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_SYSTEMS_SERVERS_SERVER_CHOICE_HPP
 
 #include "core/random_source.hpp"
+#include "systems/servers/server_limits.hpp"
 #include "tables/server_table.hpp"
 
 #include <optional>
@@ -50,7 +51,8 @@
 class server_choice
 {
 public:
-    server_choice(const server_table& servers, random_source& random);
+    server_choice(const server_table& servers, const server_limits& limits,
+                  random_source& random);
 
     /** Sets the data centres whose servers get no requests. */
     void evacuated(std::vector<data_centre_id> data_centres);
@@ -86,6 +88,8 @@
         double cost = 0.0;
     };
 
+    /** Returns when a usable server may get a request. */
+    time_point opening_of(const server_row& row, time_point now) const;
     backend_server_id choose_of(std::vector<candidate> best) const;
     double random_cost_factor() const;
     health_class health_of(const server_row& row, time_point now) const;
@@ -94,6 +98,7 @@
     duration typical_latency(service_id service) const;
 
     const server_table& m_servers;
+    const server_limits& m_limits;
     random_source& m_random;
     std::set<data_centre_id> m_evacuated;
 };
--- a/src/systems/servers/server_limits.cpp
+++ b/src/systems/servers/server_limits.cpp
@@ -28,7 +28,7 @@
 /** Time for which heartbeats repeat that a limit has ended. */
 constexpr duration ended_memory = 30s;
 /** Limits in a heartbeat, 20 bytes each. */
-constexpr std::size_t max_repeated = 8;
+constexpr std::size_t max_repeated = 6;
 constexpr double milli = 1000.0;
 /** Largest limit that is kept to; beyond it a limit does not bind. */
 constexpr double max_per_second = 1e9;
--- a/src/tests/gateway_peers_test.cpp
+++ b/src/tests/gateway_peers_test.cpp
@@ -19,7 +19,7 @@
 /** Holders of a workspace with a small rate. */
 constexpr std::size_t holders_wanted = 4;
 
-std::shared_ptr<const catalogue> limits()
+std::shared_ptr<const catalogue> rate_limits()
 {
     auto settings = std::make_shared<catalogue>();
     for (std::uint64_t id = 1; id <= workspaces; ++id) {
@@ -39,14 +39,16 @@
     peer_vm(std::size_t self, random_source& random, time_point now)
         : members({address(self), {address(0), address(1), address(2)}}, random,
                   now),
-          rates(members),
-          peers(members, incarnation(self + 1), rates, quarantine, now)
+          rates(members), limits(servers, members),
+          peers(members, incarnation(self + 1), rates, limits, quarantine, now)
     {
-        rates.catalogue_changed(limits(), now);
+        rates.catalogue_changed(rate_limits(), now);
     }
 
     member_directory members;
     rate_slices rates;
+    server_table servers;
+    server_limits limits;
     crash_quarantine quarantine;
     gateway_peers peers;
 };
--- a/src/tests/server_choice_test.cpp
+++ b/src/tests/server_choice_test.cpp
@@ -11,7 +11,9 @@
 {
     server_table servers;
     seeded_random random{11};
-    server_choice choice{servers, random};
+    member_directory members{{"10.0.0.1:7000", {}}, random, time_point(1h)};
+    server_limits limits{servers, members};
+    server_choice choice{servers, limits, random};
     server_observer observer{servers};
     time_point now{1h};
     const service_id service{7};
