A server that says in its answers that it is leaving gets no new requests

Cause: the header was not read; only the platform's list told of a leaving server, which may lag or be out of reach. Change: the first answer that says so ends the use of the server by this VM until it is listed with a new start (log event 1509). Evidence: gateway_backoff_test, a_server_that_is_leaving_gets_no_new_requests, and http_adapter_test.

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -171,6 +171,12 @@
                                  gateway_commands& out)
 {
     m_server_limits.observe(row.server, answer.limit, row.sent_at, now, out);
+    if (answer.leaving && m_observer.leaving(row.server)) {
+        out.push_back(
+            gateway_log{static_cast<std::uint32_t>(log_code::server_leaving),
+                        "server=" + name_of_server(row.server) +
+                            " request=" + row.outbound->id});
+    }
     if (answer.retry_after && answer.status == service_unavailable) {
         m_observer.closed(row.server, *answer.retry_after, now);
         log_closed_server(row, name_of_server(row.server), *answer.retry_after,
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -73,6 +73,8 @@
     bool not_run = false;
     /** A process other than the expected server answered at its address. */
     bool misdirected = false;
+    /** The server is leaving and wants no new requests. */
+    bool leaving = false;
     /** Receipt of a server that ran the request; empty otherwise. */
     std::string receipt;
     /** Remaining warm-up time of the server, if it reports one. */
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -40,6 +40,7 @@
     send_lost = 1506,
     server_closed = 1507,
     server_limit_changed = 1508,
+    server_leaving = 1509,
     request_refused = 1601,
     request_not_served = 1602,
     request_malformed = 1603,
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -45,7 +45,8 @@
 
 bool server_choice::is_usable(const server_row& row, time_point now) const
 {
-    return !row.entry.draining && !is_evacuated(row.entry.data_centre) &&
+    return !row.entry.draining && !row.leaving &&
+           !is_evacuated(row.entry.data_centre) &&
            (!row.unlisted_at || now < *row.unlisted_at);
 }
 
--- a/src/systems/servers/server_directory.cpp
+++ b/src/systems/servers/server_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace cranberrywood {
 
@@ -185,6 +186,12 @@
     }
 }
 
+bool server_observer::leaving(backend_server_id server)
+{
+    server_row* row = m_servers.find(server);
+    return row != nullptr && !std::exchange(row->leaving, true);
+}
+
 // Answers may overtake each other, so the longest wait holds.
 void server_observer::closed(backend_server_id server, duration wait,
                              time_point now)
--- a/src/systems/servers/server_directory.hpp
+++ b/src/systems/servers/server_directory.hpp
@@ -55,6 +55,8 @@
                   time_point now);
     /** Records how long the server reports that it stays cold. */
     void cold(backend_server_id server, duration remaining, time_point now);
+    /** Records that the server is leaving; returns whether that is new. */
+    bool leaving(backend_server_id server);
     /** Records that the server wants no request for some time. */
     void closed(backend_server_id server, duration wait, time_point now);
     /** Records a failed connection or an invalid answer. */
--- a/src/tables/server_table.cpp
+++ b/src/tables/server_table.cpp
@@ -41,6 +41,7 @@
         row.suspicions_in_row = 0;
         row.suspected_until = time_point();
         row.closed_until = time_point();
+        row.leaving = false;
     }
     row.cold_until = entry.cold_remaining > duration(0)
                          ? now + entry.cold_remaining
--- a/src/tables/server_table.hpp
+++ b/src/tables/server_table.hpp
@@ -36,6 +36,8 @@
     std::uint32_t suspicions_in_row = 0;
     /** Until when it has asked this VM to send nothing. */
     time_point closed_until;
+    /** It said in an answer that it is leaving; holds until it starts anew. */
+    bool leaving = false;
     /** Smoothed time between two sends of this VM; 0 before the second. */
     duration send_gap{0};
     time_point last_sent_at;
--- a/src/tests/gateway_backoff_test.cpp
+++ b/src/tests/gateway_backoff_test.cpp
@@ -147,3 +147,31 @@
     pass(2s);
     CHECK(sends("/reads/2", 2s)[first.server] > 0);
 }
+
+// DRAIN: a server that said in its answers that it is leaving got requests.
+TEST(gateway_backoff, a_server_that_is_leaving_gets_no_new_requests)
+{
+    ask("/reads/1");
+    const start_exchange first = std::exchange(started, {})[0];
+    backend_answer answer;
+    answer.status = 200;
+    answer.receipt = "receipt";
+    answer.leaving = true;
+    answer.message = std::make_shared<const relayed_message>();
+    feed(exchange_ended{first.exchange, answer});
+    CHECK_EQUAL(1, answers.size());
+    CHECK_EQUAL(0, sends("/reads/2", 3s)[first.server]);
+    // A later report under the same start does not bring it back; a new start
+    // does.
+    backend_server_entry entry;
+    entry.id = first.server;
+    entry.service = service_of(100);
+    entry.name = first.server_name;
+    entry.sequence = 5;
+    feed(servers_reported{{entry}, false});
+    CHECK_EQUAL(0, sends("/reads/3", 3s)[first.server]);
+    entry.born_ms = 7;
+    entry.sequence = 1;
+    feed(servers_reported{{entry}, false});
+    CHECK(sends("/reads/4", 3s)[first.server] > 0);
+}
--- a/src/tests/gateway_test.cpp
+++ b/src/tests/gateway_test.cpp
@@ -424,8 +424,10 @@
         std::variant<backend_answer, exchange_failure> result;
         bool is_suspected;
     } table[] = {
-        {"refuses", backend_answer{503, true, false, "", {}, {}, {}, {}}, true},
-        {"fails", backend_answer{500, false, false, "", {}, {}, {}, {}}, true},
+        {"refuses", backend_answer{503, true, false, false, "", {}, {}, {}, {}},
+         true},
+        {"fails", backend_answer{500, false, false, false, "", {}, {}, {}, {}},
+         true},
         {"loses the connection",
          exchange_failure{exchange_fault::connection_lost}, true},
         {"cannot be reached", exchange_failure{exchange_fault::not_connected},
--- a/src/tests/platform/http_adapter_test.cpp
+++ b/src/tests/platform/http_adapter_test.cpp
@@ -50,6 +50,16 @@
     }
 };
 
+TEST(http_adapter, reads_that_a_server_is_leaving)
+{
+    http_response r = response(200);
+    CHECK(!adapter.read_answer(http_response(r)).leaving);
+    r.set("Server-Leaving", "1");
+    CHECK(adapter.read_answer(http_response(r)).leaving);
+    r.set("Server-Leaving", "0");
+    CHECK(!adapter.read_answer(http_response(r)).leaving);
+}
+
 TEST(http_adapter, reads_the_limit_that_a_server_names)
 {
     http_response r = response(200);
