An answer that names no request counts only as the first of its connection

Cause: bytes behind an earlier answer that bear no id were taken for a rejection of the next request on that connection, and its 'not run' was believed. The class: an absent identity read as the expected one. Change: on a connection that has carried an answer, an answer without id and receipt ends the connection as a lost one, whatever its status. The first answer of a connection is accepted, and the connection is not used again, so servers that name no requests stay in use with a connection for each request.

--- /dev/null
+++ b/src/loop/answer_match.hpp
@@ -0,0 +1,21 @@
+#ifndef CRANBERRYWOOD_LOOP_ANSWER_MATCH_HPP
+#define CRANBERRYWOOD_LOOP_ANSWER_MATCH_HPP
+
+#include <cstdint>
+
+namespace cranberrywood {
+
+/** Whose answer a backend server's message is. */
+enum class answer_match : std::uint8_t
+{
+    /** It names the request that waits. */
+    own,
+    /** It names another request. */
+    other,
+    /** It names none. */
+    unnamed,
+};
+
+} // namespace cranberrywood
+
+#endif
--- a/src/loop/backend_connection.cpp
+++ b/src/loop/backend_connection.cpp
@@ -202,15 +202,26 @@
     }
 }
 
+// On a connection that has carried an answer, bytes that name no request may be
+// the rest of an earlier one, so they prove nothing: the server may run this
+// request. The first answer of a connection can only be to its request; the
+// connection is not used again, so a server that names none stays in use.
 void backend_connection::answer_complete()
 {
     const bool ends = m_reader.current().need_eof();
     http_response response = m_reader.take();
     const bool interim = http::to_status_class(response.result()) ==
                          http::status_class::informational;
-    if (!interim &&
-        m_links.m_handler.belongs(response, m_exchange->request_id)) {
-        const bool reusable = !ends && response.keep_alive() &&
+    const answer_match match =
+        interim ? answer_match::other
+                : m_links.m_handler.match(response, m_exchange->request_id);
+    if (match == answer_match::unnamed && m_carried) {
+        fail(exchange_fault::connection_lost);
+        return;
+    }
+    if (match != answer_match::other) {
+        const bool reusable = match == answer_match::own && !ends &&
+                              response.keep_alive() &&
                               m_reader.kept_bytes() == 0 && m_strays == 0 &&
                               m_stream->all_written();
         finish(std::move(response), reusable);
@@ -231,6 +242,7 @@
     const auto self = shared_from_this();
     const exchange_id id = m_exchange->id;
     m_exchange.reset();
+    m_carried = true;
     m_links.m_busy.erase(id);
     if (reusable) {
         learn_idle_limit(response);
--- a/src/loop/backend_connection.hpp
+++ b/src/loop/backend_connection.hpp
@@ -88,6 +88,8 @@
     /** How long the connection had been idle when the exchange was sent. */
     duration m_rested{0};
     time_point m_written_at;
+    /** It has carried an answer before. */
+    bool m_carried = false;
     std::uint32_t m_strays = 0;
     /** Interim responses that came before the answer. */
     std::uint32_t m_interim = 0;
--- a/src/loop/backend_links.hpp
+++ b/src/loop/backend_links.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_LOOP_BACKEND_LINKS_HPP
 
 #include "core/gateway_messages.hpp"
+#include "loop/answer_match.hpp"
 #include "loop/http_types.hpp"
 #include "loop/loop_context.hpp"
 #include "loop/rest_limits.hpp"
@@ -19,9 +20,9 @@
 {
 public:
     virtual ~exchange_handler() = default;
-    /** Returns whether an answer belongs to the request with this id. */
-    virtual bool belongs(const http_response& response,
-                         const std::string& request_id) const = 0;
+    /** Returns whether an answer is to the request with this id. */
+    virtual answer_match match(const http_response& response,
+                               const std::string& request_id) const = 0;
     virtual void exchange_answered(exchange_id exchange,
                                    http_response response) = 0;
     virtual void exchange_failed(exchange_id exchange,
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -144,10 +144,10 @@
                 "status=" + std::to_string(status) + " why=\"no request\"");
 }
 
-bool gateway_process::belongs(const http_response& response,
-                              const std::string& request_id) const
+answer_match gateway_process::match(const http_response& response,
+                                    const std::string& request_id) const
 {
-    return m_adapter.belongs(response, request_id);
+    return m_adapter.match(response, request_id);
 }
 
 void gateway_process::exchange_answered(exchange_id exchange,
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -41,8 +41,8 @@
     void caller_closed(caller_token token) override;
     void bytes_refused(unsigned status) override;
 
-    bool belongs(const http_response& response,
-                 const std::string& request_id) const override;
+    answer_match match(const http_response& response,
+                       const std::string& request_id) const override;
     void exchange_answered(exchange_id exchange,
                            http_response response) override;
     void exchange_failed(exchange_id exchange, exchange_fault fault) override;
--- a/src/loop/platform_adapter.hpp
+++ b/src/loop/platform_adapter.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_LOOP_PLATFORM_ADAPTER_HPP
 
 #include "core/gateway_messages.hpp"
+#include "loop/answer_match.hpp"
 #include "loop/http_types.hpp"
 #include "systems/store/store_messages.hpp"
 
@@ -35,8 +36,8 @@
     virtual std::string
     write_exchange(const start_exchange& exchange) const = 0;
     /** Returns whether an answer is to the request with this id. */
-    virtual bool belongs(const http_response& response,
-                         const std::string& request_id) const = 0;
+    virtual answer_match match(const http_response& response,
+                               const std::string& request_id) const = 0;
     virtual backend_answer read_answer(http_response&& response) const = 0;
 
     virtual std::string list_target(store_area area,
--- a/src/tests/loop/backend_links_test.cpp
+++ b/src/tests/loop/backend_links_test.cpp
@@ -15,11 +15,16 @@
 class recording_handler : public exchange_handler
 {
 public:
-    bool belongs(const http_response& response,
-                 const std::string& request_id) const override
+    answer_match match(const http_response& response,
+                       const std::string& request_id) const override
     {
         const auto id = response["X-Id"];
-        return std::string(id.data(), id.size()) == request_id;
+        if (id.empty()) {
+            return answer_match::unnamed;
+        }
+        return std::string(id.data(), id.size()) == request_id
+                   ? answer_match::own
+                   : answer_match::other;
     }
     void exchange_answered(exchange_id /*exchange*/,
                            http_response response) override
@@ -356,3 +361,35 @@
     CHECK(run_until(io, [&] { return handler.probes.size() == 1; }));
     CHECK_EQUAL(1, links->connections_opened());
 }
+
+// TWICE: bytes that named no request were taken for a rejection of the next.
+TEST(backend_links, bytes_that_name_no_request_are_no_answer_to_the_next_one)
+{
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    peer->send(answer("a", "1"));
+    await_end(1);
+    CHECK_EQUAL(1, links->idle_connections());
+    start("b");
+    await_request(*peer, "b");
+    peer->send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    await_end(2);
+    CHECK_EQUAL(1, handler.answers.size());
+    CHECK(handler.faults[0] == exchange_fault::connection_lost);
+    CHECK_EQUAL(0, links->idle_connections());
+}
+
+TEST(backend_links, a_server_that_names_no_request_is_used_without_reuse)
+{
+    for (int round = 1; round <= 3; ++round) {
+        start("a");
+        const auto peer = accept();
+        await_request(*peer, "a");
+        peer->send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+        await_end(static_cast<std::size_t>(round));
+    }
+    CHECK_EQUAL(3, handler.answers.size());
+    CHECK_EQUAL(0, links->idle_connections());
+    CHECK_EQUAL(3, links->connections_opened());
+}
--- a/src/tests/platform/http_adapter_test.cpp
+++ b/src/tests/platform/http_adapter_test.cpp
@@ -154,13 +154,13 @@
 
 TEST(http_adapter, tells_answers_of_this_request_from_others)
 {
-    CHECK(adapter.belongs(response(200), "9c41"));
-    CHECK(!adapter.belongs(response(200), "other"));
+    CHECK(adapter.match(response(200), "9c41") == answer_match::own);
+    CHECK(adapter.match(response(200), "other") == answer_match::other);
     http_response without_id = response(503);
     without_id.erase("Request-Id");
-    CHECK(!adapter.belongs(without_id, "9c41"));
+    CHECK(adapter.match(without_id, "9c41") == answer_match::other);
     without_id.erase("Response-Stamp");
-    CHECK(adapter.belongs(without_id, "9c41"));
+    CHECK(adapter.match(without_id, "9c41") == answer_match::unnamed);
 }
 
 TEST(http_adapter, reads_proofs_that_a_request_has_not_run)
