An answer with a coded body is no success

Seen: read in the code by the review; no server of ours sends one. Callers ask for bodies without any coding, and a coded one is not the server's body. Cause: Content-Encoding was passed on without a look. Evidence: http_adapter_test, an_answer_with_a_coded_body_is_no_success.

--- a/src/tests/platform/http_adapter_test.cpp
+++ b/src/tests/platform/http_adapter_test.cpp
@@ -50,6 +50,14 @@
     }
 };
 
+TEST(http_adapter, an_answer_with_a_coded_body_is_no_success)
+{
+    http_response r = response(200);
+    CHECK(adapter.read_answer(http_response(r)).success());
+    r.set(http::field::content_encoding, "gzip");
+    CHECK(!adapter.read_answer(http_response(r)).success());
+}
+
 TEST(http_adapter, reads_that_a_server_is_leaving)
 {
     http_response r = response(200);
