Wording of what is announced to peers, of held calls and of crash evidence

No change of behaviour: names (announced, observe_server_state) and comments; one comment said that an accepted connection drops a loss, which it does not.

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -152,7 +152,7 @@
     const bool failed = answer == nullptr || answer->misdirected ||
                         (answer->status >= 500 && !answer->not_run);
     if (answer != nullptr && !answer->misdirected) {
-        observe_wishes(row, *answer, now, out);
+        observe_server_state(row, *answer, now, out);
     }
     if (failed) {
         observe_failure(row, ended, now, out);
@@ -166,9 +166,9 @@
     }
 }
 
-void call_sender::observe_wishes(const exchange_row& row,
-                                 const backend_answer& answer, time_point now,
-                                 gateway_commands& out)
+void call_sender::observe_server_state(const exchange_row& row,
+                                       const backend_answer& answer,
+                                       time_point now, gateway_commands& out)
 {
     m_server_limits.observe(row.server, answer.limit, row.sent_at, now, out);
     if (answer.leaving && m_observer.leaving(row.server)) {
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -100,8 +100,9 @@
     void observe(const exchange_row& row, const exchange_ended& ended,
                  time_point now, gateway_commands& out);
     /** Applies what the server says of the requests that it takes. */
-    void observe_wishes(const exchange_row& row, const backend_answer& answer,
-                        time_point now, gateway_commands& out);
+    void observe_server_state(const exchange_row& row,
+                              const backend_answer& answer, time_point now,
+                              gateway_commands& out);
     void observe_failure(const exchange_row& row, const exchange_ended& ended,
                          time_point now, gateway_commands& out);
 
--- a/src/systems/queries/crash_evidence.hpp
+++ b/src/systems/queries/crash_evidence.hpp
@@ -27,7 +27,7 @@
  * Lost sends whose servers may have crashed. A lost connection alone proves
  * nothing: links break and answers get lost. A send counts as a crash once its
  * server refuses connections or is listed as started again, and is dropped once
- * the server answers or accepts a connection.
+ * the server answers a later send.
  */
 class crash_evidence
 {
--- a/src/systems/queries/crash_quarantine.hpp
+++ b/src/systems/queries/crash_quarantine.hpp
@@ -49,7 +49,7 @@
     /** Returns whether a server of the service has crashed under it. */
     bool has_crashed(fingerprint print, service_id service) const;
 
-    /** Takes what the other VMs have to be told at once. */
+    /** Takes crashes that the other VMs have to hear of at once. */
     std::vector<crash_report> take_reports(time_point now);
     std::vector<crash_clearance> take_clearances(time_point now);
     /** Returns crashes of refused requests for a heartbeat, in turn. */
--- a/src/systems/queries/held_calls.hpp
+++ b/src/systems/queries/held_calls.hpp
@@ -15,10 +15,11 @@
 {
     /** The trial has not ended, or no call is held. */
     wait,
-    /** Hold all but one further call. */
+    /** Send one of the held calls, as the next trial. */
     release_one,
+    /** Send all held calls. */
     release_all,
-    /** The trial lost its server as well. */
+    /** Give up the held calls: the trial lost its server as well. */
     fail,
 };
 
--- a/src/systems/servers/server_limits.cpp
+++ b/src/systems/servers/server_limits.cpp
@@ -23,8 +23,8 @@
  * together ask a server each 4 s whether its limit has ended.
  */
 constexpr duration enquiry_interval = 4s;
-/** Relative change of a limit that is logged and told to peers. */
-constexpr double told_change = 0.1;
+/** Relative change of a limit that is logged and announced to peers. */
+constexpr double announced_change = 0.1;
 /** Time for which heartbeats repeat that a limit has ended. */
 constexpr duration ended_memory = 30s;
 /** Limits in a heartbeat, 20 bytes each. */
@@ -38,7 +38,7 @@
     if (!a || !b) {
         return a.has_value() != b.has_value();
     }
-    return std::abs(*a - *b) > told_change * std::max(*a, *b);
+    return std::abs(*a - *b) > announced_change * std::max(*a, *b);
 }
 
 } // namespace
@@ -66,7 +66,7 @@
     }
     update(server, per_second, now, "self", now, out);
     state& s = m_states[server];
-    s.untold = s.untold || differs(s.told, s.per_second);
+    s.unannounced = s.unannounced || differs(s.announced, s.per_second);
 }
 
 void server_limits::apply_remote(
@@ -85,7 +85,7 @@
         update(report.server,
                report.limited ? std::optional(per_second) : std::nullopt,
                heard_at, peer, now, out);
-        m_states[report.server].told = m_states[report.server].per_second;
+        m_states[report.server].announced = m_states[report.server].per_second;
     }
 }
 
@@ -174,9 +174,9 @@
 {
     std::vector<server_limit_report> reports;
     for (auto& [server, s] : m_states) {
-        if (s.untold) {
-            s.untold = false;
-            s.told = s.per_second;
+        if (s.unannounced) {
+            s.unannounced = false;
+            s.announced = s.per_second;
             reports.push_back(report_of(server, s, now));
         }
     }
--- a/src/systems/servers/server_limits.hpp
+++ b/src/systems/servers/server_limits.hpp
@@ -38,7 +38,7 @@
     /** Records that a request was sent. */
     void record_sent(backend_server_id server, time_point now);
 
-    /** Takes what the other VMs have to be told at once. */
+    /** Takes changes that the other VMs have to hear at once. */
     std::vector<server_limit_report> take_reports(time_point now);
     /** Returns known limits to repeat in a heartbeat, in turn. */
     std::vector<server_limit_report> reports_to_repeat(time_point now);
@@ -60,9 +60,9 @@
         time_point heard_at;
         /** When this VM may send the next request. */
         time_point next_at;
-        /** Limit that was last logged and told to peers. */
-        std::optional<double> told;
-        bool untold = false;
+        /** Limit that was last announced to peers. */
+        std::optional<double> announced;
+        bool unannounced = false;
         /** Whether this VM is one of the sharers, and for which of them. */
         bool shares = false;
         std::size_t ranked_sharers = 0;
