--- a/src/tests/soak/soak_world.cpp
+++ b/src/tests/soak/soak_world.cpp
@@ -228,7 +228,7 @@
     }
 }
 
-// The store -------------------------------------------------------------------
+// The store.
 
 void soak_world::publish(const std::string& withdrawn)
 {
@@ -320,7 +320,7 @@
     });
 }
 
-// VMs and callers -------------------------------------------------------------
+// VMs and callers.
 
 void soak_world::send(std::size_t from, const send_datagram& command)
 {
