Store changes that are ignored, and lists of the store, are logged

CONFIG: no line told a change that is dropped from one that is never read. store_view returns what it ignored and why; lines 1112 and 1113 are new. Unreadable values were only counted, nowhere shown.

No change of decisions.

--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -27,6 +27,8 @@
     site_removed = 1109,
     store_source_changed = 1110,
     store_reader_failed = 1111,
+    store_listed = 1112,
+    store_change_ignored = 1113,
     lease_acquired = 1201,
     lease_released = 1202,
     lease_expired = 1203,
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -182,15 +182,34 @@
 void gateway_process::store_read(store_area area, const followed_page& page)
 {
     contact_changed(true, "");
-    for (const gateway_event& event : m_view.apply(area, page)) {
-        handle(event);
+    if (page.whole) {
+        m_log.write(log_code::store_listed,
+                    std::string("area=") + name_of(area) +
+                        " revision=" + std::to_string(page.at.value()) +
+                        " items=" + std::to_string(page.changes.size()));
     }
-    settings_changed();
+    apply_page(area, page);
     if (m_mirror.apply(area, page)) {
         m_control_front.news(m_mirror.place());
     }
 }
 
+void gateway_process::apply_page(store_area area, const followed_page& page)
+{
+    const view_update update = m_view.apply(area, page);
+    for (const ignored_change& change : update.ignored) {
+        m_log.write(log_code::store_change_ignored,
+                    "key=" + change.key + " why=" + name_of(change.why) +
+                        " revision=" + std::to_string(change.revision.value()) +
+                        " known=" + std::to_string(change.known.value()) +
+                        " details=\"" + change.details + '"');
+    }
+    for (const gateway_event& event : update.events) {
+        handle(event);
+    }
+    settings_changed();
+}
+
 void gateway_process::store_failed(store_area /*area*/, const std::string& why)
 {
     contact_changed(false, why);
@@ -259,11 +278,8 @@
                     item.key, item.revision, item.removed, item.bytes));
             }
         }
-        for (const gateway_event& event : m_view.apply(area, page)) {
-            handle(event);
-        }
+        apply_page(area, page);
     }
-    settings_changed();
 }
 
 void gateway_process::reader_failed(reader_fault fault, const std::string& why)
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -62,6 +62,8 @@
     void wait_for_signals();
     void begin_stop();
     bool ready() const;
+    /** Applies changes of the store, from itself or from another VM. */
+    void apply_page(store_area area, const followed_page& page);
     void settings_changed();
     /** Reads the store, or follows a VM that does. */
     void choose_store_source();
--- a/src/systems/store/store_messages.hpp
+++ b/src/systems/store/store_messages.hpp
@@ -23,6 +23,8 @@
     backend_servers,
 };
 
+const char* name_of(store_area area);
+
 /** A data centre that operators have taken out of service. */
 struct evacuated_data_centre
 {
--- a/src/systems/store/store_view.cpp
+++ b/src/systems/store/store_view.cpp
@@ -5,9 +5,20 @@
 
 namespace cranberrywood {
 
-std::vector<gateway_event> store_view::apply(store_area area,
-                                             const followed_page& page)
+const char* name_of(ignored_reason why)
 {
+    switch (why) {
+    case ignored_reason::older_revision:
+        return "older_revision";
+    case ignored_reason::unreadable:
+        return "unreadable";
+    }
+    return "unknown";
+}
+
+view_update store_view::apply(store_area area, const followed_page& page)
+{
+    view_update update;
     items& known =
         area == store_area::operator_settings ? m_settings : m_servers;
     std::vector<store_change> applied;
@@ -15,28 +26,37 @@
         remove_unlisted(known, page, applied);
     }
     for (const store_change& change : page.changes) {
-        if (apply_change(known, change)) {
+        if (apply_change(known, change, update.ignored)) {
             applied.push_back(change);
         }
     }
-    std::vector<gateway_event> events;
     if (area == store_area::operator_settings) {
-        settings_events(applied, events);
+        settings_events(applied, update.events);
     } else {
-        server_events(applied, events);
+        server_events(applied, update.events);
     }
-    return events;
+    return update;
 }
 
-bool store_view::apply_change(items& known, const store_change& change)
+bool store_view::apply_change(items& known, const store_change& change,
+                              std::vector<ignored_change>& ignored)
 {
     const auto found = known.find(change.key);
-    if (found != known.end() && change.revision <= found->second.revision) {
+    const store_revision revision =
+        found == known.end() ? store_revision() : found->second.revision;
+    if (found != known.end() && change.revision <= revision) {
+        if (change.revision < revision) {
+            ignored.push_back({change.key,
+                               ignored_reason::older_revision,
+                               change.revision,
+                               revision,
+                               {}});
+        }
         return false;
     }
-    if (std::holds_alternative<unreadable_item>(change.value)) {
-        // It comes from another writer; the previous value is kept.
-        ++m_unreadable;
+    if (const auto* item = std::get_if<unreadable_item>(&change.value)) {
+        ignored.push_back({change.key, ignored_reason::unreadable,
+                           change.revision, revision, item->why});
         return false;
     }
     known[change.key] = {change.revision, change.value};
--- a/src/systems/store/store_view.hpp
+++ b/src/systems/store/store_view.hpp
@@ -9,6 +9,36 @@
 
 namespace cranberrywood {
 
+/** Why a change was not applied. */
+enum class ignored_reason : std::uint8_t
+{
+    /** A newer revision of the item is known. */
+    older_revision,
+    /** The value cannot be parsed; it comes from another writer. */
+    unreadable,
+};
+
+const char* name_of(ignored_reason why);
+
+/** A change that was not applied. */
+struct ignored_change
+{
+    std::string key;
+    ignored_reason why = ignored_reason::older_revision;
+    store_revision revision;
+    /** Known revision of the item; 0 if it is unknown. */
+    store_revision known;
+    /** Details of the reason; may be empty. */
+    std::string details;
+};
+
+/** What changes of the store lead to. */
+struct view_update
+{
+    std::vector<gateway_event> events;
+    std::vector<ignored_change> ignored;
+};
+
 /**
  * The store's items as this VM knows them. Converts changes into events for the
  * gateway and ignores changes that are older than the known revision.
@@ -16,15 +46,8 @@
 class store_view
 {
 public:
-    /** Applies changes; returns the resulting events. */
-    std::vector<gateway_event> apply(store_area area,
-                                     const followed_page& page);
-
-    /** Returns how many changes had a value that could not be parsed. */
-    std::uint64_t unreadable_items() const
-    {
-        return m_unreadable;
-    }
+    /** Applies changes; returns the resulting events and what was ignored. */
+    view_update apply(store_area area, const followed_page& page);
 
 private:
     struct kept_item
@@ -34,7 +57,8 @@
     };
     using items = std::map<std::string, kept_item>;
 
-    bool apply_change(items& known, const store_change& change);
+    static bool apply_change(items& known, const store_change& change,
+                             std::vector<ignored_change>& ignored);
     static void remove_unlisted(items& known, const followed_page& page,
                                 std::vector<store_change>& removed);
     void settings_events(const std::vector<store_change>& changes,
@@ -44,7 +68,6 @@
 
     items m_settings;
     items m_servers;
-    std::uint64_t m_unreadable = 0;
 };
 
 } // namespace cranberrywood
--- a/src/tests/store_view_test.cpp
+++ b/src/tests/store_view_test.cpp
@@ -8,6 +8,8 @@
 TEST_GROUP(store_view)
 {
     store_view view;
+    /** What the last call ignored. */
+    std::vector<ignored_change> ignored;
 
     static store_change entry(const std::string& name, std::uint64_t revision,
                               std::uint64_t sequence = 1)
@@ -45,8 +47,19 @@
     std::vector<gateway_event> servers(std::vector<store_change> changes,
                                        bool whole = false, std::uint64_t at = 0)
     {
-        return view.apply(store_area::backend_servers,
-                          {changes, whole, store_revision(at)});
+        view_update update = view.apply(store_area::backend_servers,
+                                        {changes, whole, store_revision(at)});
+        ignored = update.ignored;
+        return update.events;
+    }
+    std::vector<gateway_event> operator_settings(
+        std::vector<store_change> changes, bool whole = false,
+        std::uint64_t at = 0)
+    {
+        view_update update = view.apply(store_area::operator_settings,
+                                        {changes, whole, store_revision(at)});
+        ignored = update.ignored;
+        return update.events;
     }
 };
 
@@ -89,6 +102,9 @@
 {
     servers({entry("a", 9, 4)});
     CHECK(servers({entry("a", 8, 3)}).empty());
+    CHECK_EQUAL(1U, ignored.size());
+    CHECK(ignored[0].why == ignored_reason::older_revision);
+    CHECK(ignored[0].known == store_revision(9));
     CHECK(servers({removal("a", 9)}).empty());
 }
 
@@ -98,20 +114,19 @@
     CHECK(
         servers({{"servers/a", store_revision(6), unreadable_item{"json"}, {}}})
             .empty());
-    CHECK_EQUAL(1U, view.unreadable_items());
+    CHECK_EQUAL(1U, ignored.size());
+    CHECK(ignored[0].why == ignored_reason::unreadable);
+    STRCMP_EQUAL("json", ignored[0].details.c_str());
 }
 
 TEST(store_view, evacuations_are_complete_and_precede_settings)
 {
-    view.apply(store_area::operator_settings, {{evacuation("x", 1)}, true, {}});
-    const auto events =
-        view.apply(store_area::operator_settings,
-                   {{settings(3, 2), evacuation("y", 3)}, false, {}});
+    operator_settings({evacuation("x", 1)}, true);
+    const auto events = operator_settings({settings(3, 2), evacuation("y", 3)});
     CHECK_EQUAL(2, events.size());
     CHECK_EQUAL(2, std::get<evacuations_read>(events[0]).data_centres.size());
     CHECK_EQUAL(3U, std::get<catalogue_read>(events[1]).read->version);
-    const auto back = view.apply(
-        store_area::operator_settings,
-        {{{"out/x", store_revision(4), removed_item{}, {}}}, false, {}});
+    const auto back =
+        operator_settings({{"out/x", store_revision(4), removed_item{}, {}}});
     CHECK_EQUAL(1, std::get<evacuations_read>(back[0]).data_centres.size());
 }
