A store that came back from an older copy: positions are era and revision

Cause: what is newer was decided by the revision alone, in the watch, the list, the view, the copy passed between VMs, and the removal of what a list lacks.

Change: store_position (era, then revision) in all five; an answer of another era lists anew; configurations never go back by their version; evacuations and servers that the copy lacks stay for 2.2 s; mirror updates carry the era (two Thrift fields added).

Ruled out: restarting the view at each era (a VM would go back to the copy's configuration, revive departed servers and end evacuations).

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -300,7 +300,7 @@
 void gateway::on(const evacuations_read& read, time_point now,
                  gateway_commands& out)
 {
-    m_choice.evacuated(read.data_centres);
+    m_choice.evacuations().listed(read.data_centres, now);
     serve_all_waiting(now, out);
 }
 
@@ -310,6 +310,14 @@
     m_directory.contact_changed(contact, now);
 }
 
+// What the copy lacks was either removed before or is written again soon.
+void gateway::on(const store_restored& /*restored*/, time_point now,
+                 gateway_commands& /*out*/)
+{
+    m_directory.store_restored(now);
+    m_choice.evacuations().store_restored(now);
+}
+
 void gateway::on(const datagram_received& datagram, time_point now,
                  gateway_commands& out)
 {
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -73,6 +73,8 @@
             gateway_commands& out);
     void on(const store_reachability_changed& contact, time_point now,
             gateway_commands& out);
+    void on(const store_restored& restored, time_point now,
+            gateway_commands& out);
     void on(const datagram_received& datagram, time_point now,
             gateway_commands& out);
     void update_fleet_size(time_point now, gateway_commands& out);
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -171,6 +171,11 @@
     bool reachable = false;
 };
 
+/** The platform's store was restored from an older copy. */
+struct store_restored
+{
+};
+
 /** A datagram from another gateway. */
 struct datagram_received
 {
@@ -183,7 +188,7 @@
     std::variant<request_received, caller_disconnected, exchange_ended,
                  server_probed, catalogue_read, servers_reported,
                  server_unlisted, evacuations_read, store_reachability_changed,
-                 datagram_received>;
+                 store_restored, datagram_received>;
 
 /** Send a request to a backend server. */
 struct start_exchange
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -185,7 +185,7 @@
     if (page.whole) {
         m_log.write(log_code::store_listed,
                     std::string("area=") + name_of(area) +
-                        " revision=" + std::to_string(page.at.value()) +
+                        " position=" + to_string(page.at) +
                         " items=" + std::to_string(page.changes.size()));
     }
     apply_page(area, page);
@@ -197,12 +197,20 @@
 void gateway_process::apply_page(store_area area, const followed_page& page)
 {
     const view_update update = m_view.apply(area, page);
+    if (update.restored) {
+        m_log.write(log_code::store_restored,
+                    std::string("area=") + name_of(area) +
+                        " before=" + to_string(update.restored->before) +
+                        " after=" + to_string(update.restored->after) +
+                        " missing=" + std::to_string(update.restored->missing) +
+                        " revision_in_force=" + std::to_string(m_version));
+    }
     for (const ignored_change& change : update.ignored) {
         m_log.write(log_code::store_change_ignored,
                     "key=" + change.key + " why=" + name_of(change.why) +
-                        " revision=" + std::to_string(change.revision.value()) +
-                        " known=" + std::to_string(change.known.value()) +
-                        " details=\"" + change.details + '"');
+                        " position=" + to_string(change.position) +
+                        " known=" + to_string(change.known) + " details=\"" +
+                        change.details + '"');
     }
     for (const gateway_event& event : update.events) {
         handle(event);
@@ -266,6 +274,12 @@
                       "the reader has lost the store");
         return;
     }
+    if (m_view.era().is_set() && !update.at.era.is_set()) {
+        // A program that knows no eras cannot say which items are newer.
+        reader_failed(reader_fault::store_unreachable,
+                      "the reader names no era");
+        return;
+    }
     contact_changed(update.store_steady, "the reader was out of contact");
     for (const store_area area :
          {store_area::operator_settings, store_area::backend_servers}) {
@@ -275,7 +289,7 @@
         for (const mirrored_item& item : update.items) {
             if (m_adapter.area_of(item.key) == area) {
                 page.changes.push_back(m_adapter.read_passed_on(
-                    item.key, item.revision, item.removed, item.bytes));
+                    item.key, item.position, item.removed, item.bytes));
             }
         }
         apply_page(area, page);
@@ -302,8 +316,8 @@
         m_reading_store && m_store_contact && m_mirror.complete();
     update.store_steady = update.store_reachable && contact >= steady_contact;
     if (update.store_reachable) {
-        update.at = std::min(m_settings_reader.follower().revision(),
-                             m_servers_reader.follower().revision());
+        update.at = std::min(m_settings_reader.follower().position(),
+                             m_servers_reader.follower().position());
     }
     return update;
 }
--- a/src/loop/platform_adapter.hpp
+++ b/src/loop/platform_adapter.hpp
@@ -48,7 +48,7 @@
     read_page(const http_response& response) const = 0;
     /** Reads an item that another VM has read and passed on. */
     virtual store_change read_passed_on(const std::string& key,
-                                        store_revision revision, bool removed,
+                                        store_position position, bool removed,
                                         const std::string& bytes) const = 0;
     /** Returns the area of the store that a key lies in. */
     virtual store_area area_of(const std::string& key) const = 0;
--- a/src/loop/store_reader.cpp
+++ b/src/loop/store_reader.cpp
@@ -106,9 +106,13 @@
         }
         return;
     }
-    m_listener.store_read(
-        m_area,
-        m_follower.handle_page(std::move(std::get<store_page>(page)), now));
+    const auto followed =
+        m_follower.handle_page(std::move(std::get<store_page>(page)), now);
+    if (followed) {
+        m_listener.store_read(m_area, *followed);
+    } else {
+        m_listener.store_failed(m_area, "an answer of an earlier era");
+    }
 }
 
 } // namespace cranberrywood
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -33,20 +33,10 @@
 {
 }
 
-void server_choice::evacuated(std::vector<data_centre_id> data_centres)
-{
-    m_evacuated = {data_centres.begin(), data_centres.end()};
-}
-
-bool server_choice::is_evacuated(data_centre_id data_centre) const
-{
-    return m_evacuated.count(data_centre) != 0;
-}
-
 bool server_choice::is_usable(const server_row& row, time_point now) const
 {
     return !row.entry.draining && !row.leaving &&
-           !is_evacuated(row.entry.data_centre) &&
+           !m_evacuated.contains(row.entry.data_centre, now) &&
            (!row.unlisted_at || now < *row.unlisted_at);
 }
 
--- a/src/systems/servers/server_choice.hpp
+++ b/src/systems/servers/server_choice.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_SYSTEMS_SERVERS_SERVER_CHOICE_HPP
 
 #include "core/random_source.hpp"
+#include "systems/servers/evacuated_data_centres.hpp"
 #include "systems/servers/server_limits.hpp"
 #include "tables/server_table.hpp"
 
@@ -54,9 +55,11 @@
     server_choice(const server_table& servers, const server_limits& limits,
                   random_source& random);
 
-    /** Sets the data centres whose servers get no requests. */
-    void evacuated(std::vector<data_centre_id> data_centres);
-    bool is_evacuated(data_centre_id data_centre) const;
+    /** Returns the data centres whose servers get no requests. */
+    evacuated_data_centres& evacuations()
+    {
+        return m_evacuated;
+    }
 
     choice_result choose(const choice_criteria& criteria, time_point now) const;
 
@@ -100,7 +103,7 @@
     const server_table& m_servers;
     const server_limits& m_limits;
     random_source& m_random;
-    std::set<data_centre_id> m_evacuated;
+    evacuated_data_centres m_evacuated;
 };
 
 } // namespace cranberrywood
--- a/src/systems/servers/server_directory.cpp
+++ b/src/systems/servers/server_directory.cpp
@@ -111,6 +111,12 @@
     }
 }
 
+void server_directory::store_restored(time_point now)
+{
+    m_store_contact_since = now;
+    m_rewritten_by = now + relist_period;
+}
+
 void server_directory::drop_unlisted(time_point now)
 {
     for (const backend_server_id id : m_servers.all()) {
@@ -131,6 +137,7 @@
     const time_point reachable_since =
         m_store_reachable ? m_store_contact_since : now;
     row.unlisted_at = std::max(now, reachable_since + relist_period);
+    row.entry_lost = now < m_rewritten_by;
     const bool may_lapse = *row.unlisted_at > now;
     log_server(log_code::server_unlisted, row.entry,
                may_lapse ? " may_lapse=yes" : " may_lapse=no", out);
--- a/src/systems/servers/server_directory.hpp
+++ b/src/systems/servers/server_directory.hpp
@@ -28,6 +28,9 @@
     void contact_changed(const store_reachability_changed& contact,
                          time_point now);
 
+    /** Records that the store was restored from an older copy. */
+    void store_restored(time_point now);
+
     /** Removes the rows of unlisted servers that have nothing in flight. */
     void drop_unlisted(time_point now);
 
@@ -40,6 +43,8 @@
     server_table& m_servers;
     bool m_store_reachable = false;
     time_point m_store_contact_since;
+    /** End of the time in which servers write lost entries again. */
+    time_point m_rewritten_by;
 };
 
 /** Records how servers respond to the requests that they are sent. */
--- a/src/systems/store/store_follower.cpp
+++ b/src/systems/store/store_follower.cpp
@@ -30,24 +30,44 @@
     if (!m_listed) {
         return list_items{m_after_key};
     }
-    return watch_items{m_revision, watch_wait};
+    return watch_items{m_position.revision, watch_wait};
 }
 
-// The pages of a list are not one snapshot: changes made after the revision of
-// the first page may be missing, so the watch starts at that revision.
-followed_page store_follower::handle_page(store_page page, time_point now)
+// A page of another era than the list or the watch it belongs to says nothing
+// of what lies between them, so the area is listed anew.
+std::optional<followed_page> store_follower::handle_page(store_page page,
+                                                         time_point now)
 {
+    if (page.at.era < m_era) {
+        failed(store_fault::unavailable, now);
+        return std::nullopt;
+    }
     m_in_contact = true;
     m_failures = 0;
-    if (m_listed) {
-        m_revision = std::max(m_revision, page.at);
-        if (!page.changes.empty()) {
-            m_next_call_time = now + m_pause;
+    if (page.at.era > m_era) {
+        const bool interrupted = m_listed || !m_after_key.empty();
+        m_era = page.at.era;
+        if (interrupted) {
+            restart();
+            return followed_page();
         }
-        return {std::move(page.changes), false, page.at};
     }
+    if (!m_listed) {
+        return handle_list_page(std::move(page), now);
+    }
+    m_position = std::max(m_position, page.at);
+    if (!page.changes.empty()) {
+        m_next_call_time = now + m_pause;
+    }
+    return followed_page{std::move(page.changes), false, page.at};
+}
+
+// The pages of a list are not one snapshot: changes made after the position of
+// the first page may be missing, so the watch starts there.
+followed_page store_follower::handle_list_page(store_page page, time_point now)
+{
     if (m_after_key.empty()) {
-        m_list_revision = page.at;
+        m_list_position = page.at;
         m_listed_items.clear();
     }
     for (store_change& change : page.changes) {
@@ -59,9 +79,9 @@
     }
     m_listed = true;
     m_after_key.clear();
-    m_revision = m_list_revision;
+    m_position = m_list_position;
     m_next_call_time = now;
-    return {std::move(m_listed_items), true, m_list_revision};
+    return {std::move(m_listed_items), true, m_list_position};
 }
 
 void store_follower::restart()
--- a/src/systems/store/store_follower.hpp
+++ b/src/systems/store/store_follower.hpp
@@ -4,6 +4,7 @@
 #include "core/random_source.hpp"
 #include "systems/store/store_messages.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace cranberrywood {
@@ -14,14 +15,14 @@
     std::vector<store_change> changes;
     /** The changes are a complete list of the items. */
     bool whole = false;
-    /** Revision up to which the changes are complete; 0 if unknown. */
-    store_revision at;
+    /** Position up to which the changes are complete; 0 if unknown. */
+    store_position at;
 };
 
 /**
  * Selects the next store call for one area: lists the area once, then watches
  * for changes, and lists again when the store has discarded the revision to
- * watch from.
+ * watch from or has been restored from an older copy.
  */
 class store_follower
 {
@@ -37,9 +38,10 @@
 
     /**
      * Handles a page. Returns its changes; those of a list are returned once
-     * its last page has arrived.
+     * its last page has arrived. A page of an earlier era counts as a failed
+     * call and gives nothing.
      */
-    followed_page handle_page(store_page page, time_point now);
+    std::optional<followed_page> handle_page(store_page page, time_point now);
 
     /** Makes the next call a list; needed after calls were suspended. */
     void restart();
@@ -55,20 +57,25 @@
     {
         return m_in_contact;
     }
-    store_revision revision() const
+    /** Returns the position up to which the area is known. */
+    store_position position() const
     {
-        return m_revision;
+        return m_position;
     }
 
 private:
+    followed_page handle_list_page(store_page page, time_point now);
+
     duration m_pause;
+    /** Latest era that a page has named. */
+    store_era m_era;
     random_source& m_random;
     bool m_listed = false;
     bool m_in_contact = false;
     std::uint32_t m_failures = 0;
-    store_revision m_revision;
-    /** Revision of the first page of the list in progress. */
-    store_revision m_list_revision;
+    store_position m_position;
+    /** Position of the first page of the list in progress. */
+    store_position m_list_position;
     std::string m_after_key;
     std::vector<store_change> m_listed_items;
     time_point m_next_call_time;
--- a/src/systems/store/store_messages.hpp
+++ b/src/systems/store/store_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYWOOD_SYSTEMS_STORE_STORE_MESSAGES_HPP
 #define CRANBERRYWOOD_SYSTEMS_STORE_STORE_MESSAGES_HPP
 
+#include "systems/store/store_position.hpp"
 #include "tables/backend_server_entry.hpp"
 #include "tables/catalogue.hpp"
 #include "units/ids.hpp"
@@ -12,9 +13,6 @@
 
 namespace cranberrywood {
 
-/** Revision of the platform's store; increases with each change. */
-using store_revision = strong_value<struct store_revision_tag, std::uint64_t>;
-
 /** The parts of the store that are watched. */
 enum class store_area : std::uint8_t
 {
@@ -52,19 +50,25 @@
 struct store_change
 {
     std::string key;
-    store_revision revision;
+    store_position position;
     store_value value;
     /** Value as stored, for the VMs that follow this one. */
     std::string bytes;
 };
 
+/**
+ * Returns whether a configuration is older than the known one. The operator's
+ * versions never go back, even when the store does.
+ */
+bool is_older_configuration(const store_value& known, const store_value& value);
+
 /** One page of a list, or the result of one watch. */
 struct store_page
 {
     std::vector<store_change> changes;
     /** The list continues after the last key of this page. */
     bool more = false;
-    store_revision at;
+    store_position at;
 };
 
 /** Why a call to the store returned no page. */
--- a/src/systems/store/store_mirror.cpp
+++ b/src/systems/store/store_mirror.cpp
@@ -1,5 +1,6 @@
 #include "systems/store/store_mirror.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace cranberrywood {
@@ -18,8 +19,13 @@
            a_cold == b_cold;
 }
 
-bool is_in_area(const store_value& value, store_area area)
+/** Returns whether a list of the area that lacks the item removes it. */
+bool is_removable(const store_value& value, store_area area)
 {
+    // The operator replaces the configuration and never removes it.
+    if (std::holds_alternative<std::shared_ptr<const catalogue>>(value)) {
+        return false;
+    }
     return std::holds_alternative<backend_server_entry>(value) ==
            (area == store_area::backend_servers);
 }
@@ -55,24 +61,36 @@
         return false;
     }
     if (known != m_items.end() && !is_significant(known->second, change)) {
+        raise_position(known->second, change);
         return false;
     }
     kept_item& kept = m_items[change.key];
     if (!removed) {
         kept.value = change.value;
     }
-    kept.item = {change.key, change.revision, removed,
+    kept.item = {change.key, change.position, removed,
                  removed ? std::string() : change.bytes};
     kept.place = ++m_place;
+    kept.lost = false;
     return true;
 }
 
+// The known value stays the newest one in a later era, where followers do not
+// take over items of an earlier era.
+void store_mirror::raise_position(kept_item& known, const store_change& change)
+{
+    if (!known.item.removed) {
+        known.item.position = std::max(known.item.position, change.position);
+    }
+}
+
 // Removed items are kept as tombstones, so that a stale report does not restore
 // them and followers receive the removal.
 bool store_mirror::is_significant(const kept_item& known,
                                   const store_change& change) const
 {
-    if (change.revision <= known.item.revision) {
+    if (change.position <= known.item.position ||
+        is_older_configuration(known.value, change.value)) {
         return false;
     }
     if (std::holds_alternative<removed_item>(change.value)) {
@@ -83,7 +101,7 @@
     if (before == nullptr || entry == nullptr) {
         return true;
     }
-    if (is_late_report(*before, *entry, !known.item.removed)) {
+    if (is_late_report(*before, *entry, !known.item.removed || known.lost)) {
         return false;
     }
     return known.item.removed || !is_same_for_routing(*before, *entry);
@@ -97,10 +115,11 @@
     }
     bool any_removed = false;
     for (auto& [key, kept] : m_items) {
-        if (!kept.item.removed && is_in_area(kept.value, area) &&
-            kept.item.revision <= page.at && listed.count(key) == 0) {
+        if (!kept.item.removed && is_removable(kept.value, area) &&
+            kept.item.position <= page.at && listed.count(key) == 0) {
+            kept.lost = kept.item.position.era < page.at.era;
             kept.item.removed = true;
-            kept.item.revision = page.at;
+            kept.item.position = page.at;
             kept.item.bytes.clear();
             kept.place = ++m_place;
             any_removed = true;
--- a/src/systems/store/store_mirror.hpp
+++ b/src/systems/store/store_mirror.hpp
@@ -14,7 +14,7 @@
 struct mirrored_item
 {
     std::string key;
-    store_revision revision;
+    store_position position;
     bool removed = false;
     /** Value as stored; empty if removed. */
     std::string bytes;
@@ -29,8 +29,8 @@
     incarnation process;
     /** The items are a complete list. */
     bool whole = false;
-    /** Revision of the store up to which the copy is complete. */
-    store_revision at;
+    /** Position in the store up to which the copy is complete. */
+    store_position at;
     /** The reader can reach the store and has read all of it. */
     bool store_reachable = false;
     /**
@@ -77,9 +77,12 @@
         mirrored_item item;
         store_value value;
         std::uint64_t place = 0;
+        /** Removed because a list of a later era lacks it. */
+        bool lost = false;
     };
 
     bool apply_change(const store_change& change);
+    static void raise_position(kept_item& known, const store_change& change);
     bool remove_unlisted(store_area area, const followed_page& page);
     bool is_significant(const kept_item& known,
                         const store_change& change) const;
--- a/src/systems/store/store_view.cpp
+++ b/src/systems/store/store_view.cpp
@@ -1,5 +1,6 @@
 #include "systems/store/store_view.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -10,6 +11,10 @@
     switch (why) {
     case ignored_reason::older_revision:
         return "older_revision";
+    case ignored_reason::older_era:
+        return "older_era";
+    case ignored_reason::older_configuration:
+        return "older_configuration";
     case ignored_reason::unreadable:
         return "unreadable";
     }
@@ -19,8 +24,12 @@
 view_update store_view::apply(store_area area, const followed_page& page)
 {
     view_update update;
-    items& known =
+    area_items& known =
         area == store_area::operator_settings ? m_settings : m_servers;
+    update.restored = advance(known, page);
+    if (update.restored) {
+        update.events.emplace_back(store_restored{});
+    }
     std::vector<store_change> applied;
     if (page.whole) {
         remove_unlisted(known, page, applied);
@@ -38,43 +47,78 @@
     return update;
 }
 
-bool store_view::apply_change(items& known, const store_change& change,
-                              std::vector<ignored_change>& ignored)
+std::optional<era_change> store_view::advance(area_items& known,
+                                              const followed_page& page)
 {
-    const auto found = known.find(change.key);
-    const store_revision revision =
-        found == known.end() ? store_revision() : found->second.revision;
-    if (found != known.end() && change.revision <= revision) {
-        if (change.revision < revision) {
-            ignored.push_back({change.key,
-                               ignored_reason::older_revision,
-                               change.revision,
-                               revision,
-                               {}});
+    const store_position before = known.newest;
+    for (const store_change& change : page.changes) {
+        known.newest = std::max(known.newest, change.position);
+    }
+    known.newest = std::max(known.newest, page.at);
+    if (known.items.empty() || known.newest.era == before.era) {
+        return std::nullopt;
+    }
+    era_change change{before, known.newest, 0};
+    if (page.whole) {
+        std::set<std::string> listed;
+        for (const store_change& item : page.changes) {
+            listed.insert(item.key);
+        }
+        for (const auto& [key, kept] : known.items) {
+            const bool removed =
+                std::holds_alternative<removed_item>(kept.value);
+            change.missing += !removed && listed.count(key) == 0 ? 1 : 0;
         }
+    }
+    return change;
+}
+
+bool store_view::apply_change(area_items& known, const store_change& change,
+                              std::vector<ignored_change>& ignored)
+{
+    const auto found = known.items.find(change.key);
+    const bool is_known = found != known.items.end();
+    const store_position position =
+        is_known ? found->second.position : store_position();
+    const auto ignore = [&](ignored_reason why, std::string details) {
+        ignored.push_back(
+            {change.key, why, change.position, position, std::move(details)});
+        return false;
+    };
+    if (is_known && change.position == position) {
         return false;
     }
+    if (change.position.era < known.newest.era) {
+        return ignore(ignored_reason::older_era, {});
+    }
+    if (is_known && change.position < position) {
+        return ignore(ignored_reason::older_revision, {});
+    }
     if (const auto* item = std::get_if<unreadable_item>(&change.value)) {
-        ignored.push_back({change.key, ignored_reason::unreadable,
-                           change.revision, revision, item->why});
-        return false;
+        return ignore(ignored_reason::unreadable, item->why);
+    }
+    if (is_known && is_older_configuration(found->second.value, change.value)) {
+        return ignore(ignored_reason::older_configuration, {});
     }
-    known[change.key] = {change.revision, change.value};
+    known.items[change.key] = {change.position, change.value};
     return true;
 }
 
 // A list may be older than the known items. An item that is not in the list was
-// removed only if its last change is not newer than the list.
-void store_view::remove_unlisted(items& known, const followed_page& page,
+// removed only if its last change is not newer than the list. The operator
+// replaces the configuration and never removes it.
+void store_view::remove_unlisted(area_items& known, const followed_page& page,
                                  std::vector<store_change>& removed)
 {
     std::set<std::string> listed;
     for (const store_change& change : page.changes) {
         listed.insert(change.key);
     }
-    for (auto& [key, kept] : known) {
-        if (listed.count(key) != 0 || kept.revision > page.at ||
-            std::holds_alternative<removed_item>(kept.value)) {
+    for (auto& [key, kept] : known.items) {
+        if (listed.count(key) != 0 || kept.position > page.at ||
+            std::holds_alternative<removed_item>(kept.value) ||
+            std::holds_alternative<std::shared_ptr<const catalogue>>(
+                kept.value)) {
             continue;
         }
         removed_item item;
@@ -103,13 +147,18 @@
         return;
     }
     evacuations_read read;
-    for (const auto& [key, item] : m_settings) {
+    for (const auto& [key, item] : m_settings.items) {
         if (const auto* out = std::get_if<evacuated_data_centre>(&item.value)) {
             read.data_centres.push_back(out->id);
         }
     }
-    // Evacuations come first, to stop new sends to a data centre at once.
-    events.insert(events.begin(), std::move(read));
+    // Evacuations come before a configuration, to stop new sends to a data
+    // centre at once, and after the news that the store was restored.
+    const auto at = std::find_if(
+        events.begin(), events.end(), [](const gateway_event& event) {
+            return std::holds_alternative<catalogue_read>(event);
+        });
+    events.insert(at, std::move(read));
 }
 
 // Events keep the order of the changes: a report that follows the removal of
--- a/src/systems/store/store_view.hpp
+++ b/src/systems/store/store_view.hpp
@@ -4,7 +4,9 @@
 #include "core/gateway_messages.hpp"
 #include "systems/store/store_follower.hpp"
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace cranberrywood {
@@ -14,6 +16,10 @@
 {
     /** A newer revision of the item is known. */
     older_revision,
+    /** The change is of an earlier era of the store. */
+    older_era,
+    /** A configuration with a greater version is known. */
+    older_configuration,
     /** The value cannot be parsed; it comes from another writer. */
     unreadable,
 };
@@ -25,23 +31,36 @@
 {
     std::string key;
     ignored_reason why = ignored_reason::older_revision;
-    store_revision revision;
-    /** Known revision of the item; 0 if it is unknown. */
-    store_revision known;
+    store_position position;
+    /** Known position of the item; 0 if it is unknown. */
+    store_position known;
     /** Details of the reason; may be empty. */
     std::string details;
 };
 
+/** The store was restored from an older copy. */
+struct era_change
+{
+    /** Newest position known before. */
+    store_position before;
+    store_position after;
+    /** Known items that the copy lacks. */
+    std::size_t missing = 0;
+};
+
 /** What changes of the store lead to. */
 struct view_update
 {
+    std::optional<era_change> restored;
     std::vector<gateway_event> events;
     std::vector<ignored_change> ignored;
 };
 
 /**
  * The store's items as this VM knows them. Converts changes into events for the
- * gateway and ignores changes that are older than the known revision.
+ * gateway and ignores changes that are older than what is known: by era and
+ * revision, and configurations by their version as well, since the store may
+ * come back from an older copy.
  */
 class store_view
 {
@@ -49,25 +68,40 @@
     /** Applies changes; returns the resulting events and what was ignored. */
     view_update apply(store_area area, const followed_page& page);
 
+    /** Returns the latest era of the store that is known. */
+    store_era era() const
+    {
+        return std::max(m_settings.newest.era, m_servers.newest.era);
+    }
+
 private:
     struct kept_item
     {
-        store_revision revision;
+        store_position position;
         store_value value;
     };
-    using items = std::map<std::string, kept_item>;
+    /** The known items of one area. */
+    struct area_items
+    {
+        /** Newest position of a page or an item. */
+        store_position newest;
+        std::map<std::string, kept_item> items;
+    };
 
-    static bool apply_change(items& known, const store_change& change,
+    /** Records the page's position; returns the change of era, if any. */
+    static std::optional<era_change> advance(area_items& known,
+                                             const followed_page& page);
+    static bool apply_change(area_items& known, const store_change& change,
                              std::vector<ignored_change>& ignored);
-    static void remove_unlisted(items& known, const followed_page& page,
+    static void remove_unlisted(area_items& known, const followed_page& page,
                                 std::vector<store_change>& removed);
     void settings_events(const std::vector<store_change>& changes,
                          std::vector<gateway_event>& events) const;
     static void server_events(const std::vector<store_change>& changes,
                               std::vector<gateway_event>& events);
 
-    items m_settings;
-    items m_servers;
+    area_items m_settings;
+    area_items m_servers;
 };
 
 } // namespace cranberrywood
--- a/src/tables/server_table.cpp
+++ b/src/tables/server_table.cpp
@@ -34,6 +34,7 @@
     }
     row.entry = entry;
     row.unlisted_at.reset();
+    row.entry_lost = false;
     if (fresh) {
         row.latency = duration(0);
         row.failures_in_row = 0;
@@ -50,15 +51,18 @@
 }
 
 // Reports may be written late: after a later report of the server, or after
-// its entry was removed. A server that lives reports with a new number.
+// its entry was removed. A server that lives reports with a new number, unless
+// the store lost its entry.
 bool server_table::is_stale(const backend_server_entry& entry) const
 {
     if (const server_row* row = find(entry.id)) {
-        return is_late_report(row->entry, entry, !row->unlisted_at);
+        return is_late_report(row->entry, entry,
+                              !row->unlisted_at || row->entry_lost);
     }
     const auto departed = m_departed.find(entry.id);
     return departed != m_departed.end() &&
-           is_late_report(departed->second, entry, false);
+           is_late_report(departed->second.entry, entry,
+                          departed->second.entry_lost);
 }
 
 void server_table::remove(backend_server_id id)
@@ -72,7 +76,7 @@
         m_departed.clear();
     }
     unindex(id, entry.service);
-    m_departed[id] = entry;
+    m_departed[id] = {entry, found->second.entry_lost};
     m_rows.erase(found);
 }
 
--- a/src/tables/server_table.hpp
+++ b/src/tables/server_table.hpp
@@ -22,6 +22,11 @@
     backend_server_entry entry;
     /** Time from which the entry is no longer used; unset while listed. */
     std::optional<time_point> unlisted_at;
+    /**
+     * The entry was lost when the store was restored from an older copy, so it
+     * may be written again as it was.
+     */
+    bool entry_lost = false;
     std::vector<outstanding_exchange> outstanding;
     /** Smoothed time in which it answers; 0 before its first answer. */
     duration latency{0};
@@ -80,13 +85,19 @@
     }
 
 private:
+    struct departed_server
+    {
+        backend_server_entry entry;
+        bool entry_lost = false;
+    };
+
     bool is_stale(const backend_server_entry& entry) const;
     void index(backend_server_id id, service_id service);
     void unindex(backend_server_id id, service_id service);
 
     std::unordered_map<backend_server_id, server_row> m_rows;
     /** Last reports of servers whose rows are gone. */
-    std::unordered_map<backend_server_id, backend_server_entry> m_departed;
+    std::unordered_map<backend_server_id, departed_server> m_departed;
     std::unordered_map<service_id, std::vector<backend_server_id>> m_services;
 };
 
--- a/src/tests/fakes/gateway_driver.hpp
+++ b/src/tests/fakes/gateway_driver.hpp
@@ -99,15 +99,20 @@
     {
         servers_reported report;
         for (std::uint64_t i = 0; i < count; ++i) {
-            backend_server_entry e;
-            e.id = backend_server_id(service * 10 + i);
-            e.service = service_of(service);
-            e.name = std::to_string(e.id.value());
-            e.data_centre = data_centre_id(i + 1);
-            report.entries.push_back(e);
+            report.entries.push_back(entry_of(service, i));
         }
         feed(report);
     }
+    static backend_server_entry entry_of(std::uint64_t service,
+                                         std::uint64_t place)
+    {
+        backend_server_entry e;
+        e.id = backend_server_id(service * 10 + place);
+        e.service = service_of(service);
+        e.name = std::to_string(e.id.value());
+        e.data_centre = data_centre_id(place + 1);
+        return e;
+    }
     void feed(const gateway_event& event)
     {
         take(core.handle(event, now));
--- a/src/tests/gateway_test.cpp
+++ b/src/tests/gateway_test.cpp
@@ -349,6 +349,38 @@
     CHECK_EQUAL(0, started.size());
 }
 
+// A live server writes its entry again, perhaps as it was; one that left before
+// the restore may be listed by the copy under the number it had.
+TEST(gateway, a_restored_store_neither_loses_live_servers_nor_revives_departed)
+{
+    feed(server_unlisted{backend_server_id(1001)});
+    feed(server_unlisted{backend_server_id(1002)});
+    pass(1s);
+    feed(store_restored{});
+    feed(servers_reported{{entry_of(100, 1)}});
+    feed(server_unlisted{backend_server_id(1000)});
+    ask("/orders/1");
+    CHECK_EQUAL(1, started.size());
+    CHECK_EQUAL(1000U, started.back().server.value());
+    reply(started.back().exchange, 200);
+    feed(servers_reported{{entry_of(100, 0)}});
+    pass(3s);
+    ask("/orders/2");
+    CHECK_EQUAL(2, started.size());
+    CHECK_EQUAL(1000U, started.back().server.value());
+}
+
+TEST(gateway, a_server_that_a_restored_store_lacks_is_gone_after_a_while)
+{
+    feed(store_restored{});
+    for (std::uint64_t id = 1000; id <= 1002; ++id) {
+        feed(server_unlisted{backend_server_id(id)});
+    }
+    pass(2300ms);
+    ask("/orders/1");
+    CHECK_EQUAL(0, started.size());
+}
+
 // Servers that live are listed again within two seconds of the store's return.
 // One that is removed later is gone: counted from its removal, the time would
 // pass the bound of 3 s for a server that leaves.
--- a/src/tests/loop/gateway_codec_test.cpp
+++ b/src/tests/loop/gateway_codec_test.cpp
@@ -36,10 +36,13 @@
     u.place = 41;
     u.process = incarnation(3);
     u.whole = true;
-    u.at = store_revision(900);
+    u.at = {store_era(4), store_revision(900)};
     u.store_reachable = true;
-    u.items = {{"key", store_revision(8), false, std::string("\0\xff", 2)},
-               {"gone", store_revision(9), true, ""}};
+    u.items = {{"key",
+                {store_era(4), store_revision(8)},
+                false,
+                std::string("\0\xff", 2)},
+               {"gone", {store_era(3), store_revision(9)}, true, ""}};
     return u;
 }
 
@@ -121,7 +124,9 @@
 {
     const auto read = decode_mirror_update(encode(update()));
     const auto& u = std::get<mirror_update>(read);
-    CHECK(u.at == store_revision(900));
+    CHECK(u.at == update().at);
+    CHECK(u.items[0].position == update().items[0].position);
+    CHECK(u.items[1].position == update().items[1].position);
     CHECK(u.whole && u.store_reachable && !u.store_steady);
     CHECK(u.items[0].bytes == std::string("\0\xff", 2));
     CHECK(u.items[1].removed);
--- a/src/tests/platform/http_adapter_test.cpp
+++ b/src/tests/platform/http_adapter_test.cpp
@@ -219,3 +219,22 @@
         adapter.write_answer(failed_answer{failure_reason::backend_failed})
             .status);
 }
+
+TEST(http_adapter, reads_the_era_of_the_store)
+{
+    const auto page_of = [&](const char* era) {
+        http_response r{http::status::ok, 11};
+        if (era != nullptr) {
+            r.set("Store-Era", era);
+        }
+        r.body() = R"({"items":[],"store_revision":7})";
+        return adapter.read_page(r);
+    };
+    CHECK(std::get<store_page>(page_of("3")).at ==
+          (store_position{store_era(3), store_revision(7)}));
+    CHECK(!std::get<store_page>(page_of(nullptr)).at.era.is_set());
+    for (const char* wrong : {"", "x", "3x", "-1"}) {
+        CHECK(std::get<store_fault>(page_of(wrong)) ==
+              store_fault::unavailable);
+    }
+}
--- a/src/tests/platform/store_codec_test.cpp
+++ b/src/tests/platform/store_codec_test.cpp
@@ -103,19 +103,23 @@
 {
     const auto list = read_store_page(
         R"({"items":[{"key":"op/evacuate/z","value":"e30=","revision":3}],)"
-        R"("truncated":true,"store_revision":9})");
+        R"("truncated":true,"store_revision":9})",
+        store_era(2));
     CHECK(list->more);
-    CHECK(list->at == store_revision(9));
+    CHECK(list->at == (store_position{store_era(2), store_revision(9)}));
+    CHECK(list->changes[0].position ==
+          (store_position{store_era(2), store_revision(3)}));
     CHECK(std::get<evacuated_data_centre>(list->changes[0].value).id ==
           id_of<data_centre_id>("z"));
     STRCMP_EQUAL("{}", list->changes[0].bytes.c_str());
     const auto watch = read_store_page(
         R"({"events":[{"key":"servers/i","revision":4,"tombstone":true},)"
         R"({"key":"servers/j","revision":5,"value":"***"}],)"
-        R"("store_revision":12})");
+        R"("store_revision":12})",
+        store_era(2));
     CHECK(std::get<removed_item>(watch->changes[0].value).server ==
           id_of<backend_server_id>("i"));
     CHECK(std::holds_alternative<unreadable_item>(watch->changes[1].value));
-    CHECK(!read_store_page("{}"));
-    CHECK(!read_store_page("no json"));
+    CHECK(!read_store_page("{}", store_era()));
+    CHECK(!read_store_page("no json", store_era()));
 }
--- a/src/tests/server_choice_test.cpp
+++ b/src/tests/server_choice_test.cpp
@@ -146,9 +146,9 @@
     choice_criteria t = criteria();
     t.tried = {backend_server_id(1)};
     CHECK_EQUAL(300, choice_counts(t).at(2));
-    choice.evacuated({remote});
+    choice.evacuations().listed({remote}, now);
     CHECK(std::holds_alternative<no_usable_server>(choice.choose(t, now)));
-    choice.evacuated({});
+    choice.evacuations().listed({}, now);
     servers.find(backend_server_id(2))->entry.draining = true;
     CHECK(std::holds_alternative<no_usable_server>(choice.choose(t, now)));
 }
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -76,6 +76,7 @@
   2: i64 revision
   3: bool removed
   4: binary bytes
+  5: i64 era
 }
 
 struct mirror_update {
@@ -86,4 +87,5 @@
   5: list<mirrored_item> items
   6: i64 at
   7: bool store_reachable
+  8: i64 at_era
 }
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -105,7 +105,8 @@
                  typename D::template wired<wire::mirrored_item> w)
 {
     copy(c.key, w.key);
-    copy(c.revision, w.revision);
+    copy(c.position.revision, w.revision);
+    copy(c.position.era, w.era);
     copy(c.removed, w.removed);
     copy(c.bytes, w.bytes);
 }
@@ -117,7 +118,8 @@
     copy(c.place, w.place);
     copy(c.process, w.process);
     copy(c.whole, w.whole);
-    copy(c.at, w.at);
+    copy(c.at.revision, w.at);
+    copy(c.at.era, w.at_era);
     copy(c.store_reachable, w.store_reachable);
     copy(c.store_steady, w.store_steady);
     copy(c.items, w.items);
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -1581,6 +1581,10 @@
 void mirrored_item::__set_bytes(const std::string& val) {
   this->bytes = val;
 }
+
+void mirrored_item::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const mirrored_item& obj)
 {
   obj.printTo(out);
@@ -1641,6 +1645,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1674,6 +1686,10 @@
   xfer += oprot->writeBinary(this->bytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1685,6 +1701,7 @@
   swap(a.revision, b.revision);
   swap(a.removed, b.removed);
   swap(a.bytes, b.bytes);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -1693,6 +1710,7 @@
   revision = other66.revision;
   removed = other66.removed;
   bytes = other66.bytes;
+  era = other66.era;
   __isset = other66.__isset;
 }
 mirrored_item& mirrored_item::operator=(const mirrored_item& other67) {
@@ -1700,6 +1718,7 @@
   revision = other67.revision;
   removed = other67.removed;
   bytes = other67.bytes;
+  era = other67.era;
   __isset = other67.__isset;
   return *this;
 }
@@ -1710,6 +1729,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
@@ -1745,6 +1765,10 @@
 void mirror_update::__set_store_reachable(const bool val) {
   this->store_reachable = val;
 }
+
+void mirror_update::__set_at_era(const int64_t val) {
+  this->at_era = val;
+}
 std::ostream& operator<<(std::ostream& out, const mirror_update& obj)
 {
   obj.printTo(out);
@@ -1841,6 +1865,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at_era);
+          this->__isset.at_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1894,6 +1926,10 @@
   xfer += oprot->writeBool(this->store_reachable);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("at_era", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->at_era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1908,6 +1944,7 @@
   swap(a.items, b.items);
   swap(a.at, b.at);
   swap(a.store_reachable, b.store_reachable);
+  swap(a.at_era, b.at_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -1919,6 +1956,7 @@
   items = other74.items;
   at = other74.at;
   store_reachable = other74.store_reachable;
+  at_era = other74.at_era;
   __isset = other74.__isset;
 }
 mirror_update& mirror_update::operator=(const mirror_update& other75) {
@@ -1929,6 +1967,7 @@
   items = other75.items;
   at = other75.at;
   store_reachable = other75.store_reachable;
+  at_era = other75.at_era;
   __isset = other75.__isset;
   return *this;
 }
@@ -1942,6 +1981,7 @@
   out << ", " << "items=" << to_string(items);
   out << ", " << "at=" << to_string(at);
   out << ", " << "store_reachable=" << to_string(store_reachable);
+  out << ", " << "at_era=" << to_string(at_era);
   out << ")";
 }
 
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -622,11 +622,12 @@
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj);
 
 typedef struct _mirrored_item__isset {
-  _mirrored_item__isset() : key(false), revision(false), removed(false), bytes(false) {}
+  _mirrored_item__isset() : key(false), revision(false), removed(false), bytes(false), era(false) {}
   bool key :1;
   bool revision :1;
   bool removed :1;
   bool bytes :1;
+  bool era :1;
 } _mirrored_item__isset;
 
 class mirrored_item : public virtual ::apache::thrift::TBase {
@@ -638,7 +639,8 @@
                 : key(),
                   revision(0),
                   removed(0),
-                  bytes() {
+                  bytes(),
+                  era(0) {
   }
 
   virtual ~mirrored_item() noexcept;
@@ -646,6 +648,7 @@
   int64_t revision;
   bool removed;
   std::string bytes;
+  int64_t era;
 
   _mirrored_item__isset __isset;
 
@@ -657,6 +660,8 @@
 
   void __set_bytes(const std::string& val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const mirrored_item & rhs) const
   {
     if (!(key == rhs.key))
@@ -667,6 +672,8 @@
       return false;
     if (!(bytes == rhs.bytes))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const mirrored_item &rhs) const {
@@ -686,7 +693,7 @@
 std::ostream& operator<<(std::ostream& out, const mirrored_item& obj);
 
 typedef struct _mirror_update__isset {
-  _mirror_update__isset() : place(false), process(false), whole(false), store_steady(false), items(false), at(false), store_reachable(false) {}
+  _mirror_update__isset() : place(false), process(false), whole(false), store_steady(false), items(false), at(false), store_reachable(false), at_era(false) {}
   bool place :1;
   bool process :1;
   bool whole :1;
@@ -694,6 +701,7 @@
   bool items :1;
   bool at :1;
   bool store_reachable :1;
+  bool at_era :1;
 } _mirror_update__isset;
 
 class mirror_update : public virtual ::apache::thrift::TBase {
@@ -707,7 +715,8 @@
                   whole(0),
                   store_steady(0),
                   at(0),
-                  store_reachable(0) {
+                  store_reachable(0),
+                  at_era(0) {
   }
 
   virtual ~mirror_update() noexcept;
@@ -718,6 +727,7 @@
   std::vector<mirrored_item>  items;
   int64_t at;
   bool store_reachable;
+  int64_t at_era;
 
   _mirror_update__isset __isset;
 
@@ -735,6 +745,8 @@
 
   void __set_store_reachable(const bool val);
 
+  void __set_at_era(const int64_t val);
+
   bool operator == (const mirror_update & rhs) const
   {
     if (!(place == rhs.place))
@@ -751,6 +763,8 @@
       return false;
     if (!(store_reachable == rhs.store_reachable))
       return false;
+    if (!(at_era == rhs.at_era))
+      return false;
     return true;
   }
   bool operator != (const mirror_update &rhs) const {
