--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -57,10 +57,11 @@
 
 call_sender::call_sender(const gateway_settings& settings,
                          server_table& servers, server_choice& choice,
-                         server_limits& limits, server_suspicions& suspicions)
+                         server_limits& limits, server_suspicions& suspicions,
+                         relay_peers& peers)
     : m_settings(settings), m_servers(servers), m_choice(choice),
-      m_server_limits(limits), m_suspicions(suspicions), m_observer(servers),
-      m_vms(settings.member.assumed_vms),
+      m_server_limits(limits), m_suspicions(suspicions), m_relay_peers(peers),
+      m_observer(servers), m_vms(settings.member.assumed_vms),
       m_extra_sends({settings.extra_send_percent, settings.extra_send_allowance,
                      settings.first_start},
                     settings.member.assumed_vms)
@@ -88,11 +89,8 @@
                                gateway_commands& out)
 {
     service_call& c = request.calls[call];
-    choice_criteria terms;
-    terms.service = c.service;
-    terms.own_data_centre = m_settings.data_centre;
-    terms.max_in_flight = max_in_flight(c.service);
-    terms.extra = purpose == send_purpose::hedge;
+    choice_criteria terms =
+        criteria_for(c.service, purpose == send_purpose::hedge);
     for (const call_send& sent : c.sends) {
         terms.tried.push_back(sent.server);
     }
@@ -118,7 +116,9 @@
                              c.service,
                              id_of<route_id>(request.terms->name),
                              now,
-                             false};
+                             false,
+                             {},
+                             {}};
     m_observer.sent(server, exchange, now);
     m_server_limits.record_sent(server, now);
     c.sends.push_back({exchange, server, now, true, false});
@@ -130,6 +130,103 @@
     return send_outcome::sent;
 }
 
+choice_criteria call_sender::criteria_for(service_id service, bool extra) const
+{
+    choice_criteria terms;
+    terms.service = service;
+    terms.own_data_centre = m_settings.data_centre;
+    terms.max_in_flight = max_in_flight(service);
+    terms.extra = extra;
+    return terms;
+}
+
+// Attempts and extra sends count here; the peer applies what it knows of the
+// servers, as it is the VM that they see.
+send_outcome call_sender::relay(open_request& request, std::uint32_t call,
+                                send_purpose purpose, time_point now,
+                                gateway_commands& out)
+{
+    service_call& c = request.calls[call];
+    const auto peer = m_relay_peers.choose(now);
+    if (!peer) {
+        return send_outcome::no_usable_server;
+    }
+    if (c.may_have_arrived() && !m_extra_sends.take(c.service)) {
+        return send_outcome::no_budget;
+    }
+    relay_request asked;
+    asked.service = c.service;
+    for (const call_send& sent : c.sends) {
+        if (sent.server.is_set()) {
+            asked.tried.push_back(sent.server);
+        }
+    }
+    asked.extra = purpose == send_purpose::hedge;
+    asked.print = request.print;
+    asked.deadline = request.deadline - now;
+    asked.repeatable = request.terms->repeatable;
+    asked.workspace = request.workspace_name;
+    asked.outbound = request.outbound;
+    const exchange_id exchange(++m_last_exchange);
+    m_exchanges[exchange] = {{request.token, call},
+                             request.outbound,
+                             request.print,
+                             backend_server_id(),
+                             c.service,
+                             id_of<route_id>(request.terms->name),
+                             now,
+                             false,
+                             *peer,
+                             {}};
+    m_relay_peers.sent(*peer);
+    c.sends.push_back({exchange, backend_server_id(), now, true, false});
+    c.state = call_state::sent;
+    out.push_back(start_relay{exchange, *peer, std::move(asked)});
+    return send_outcome::sent;
+}
+
+bool call_sender::send_for_peer(const relay_requested& asked, time_point now,
+                                gateway_commands& out)
+{
+    const relay_request& request = asked.request;
+    choice_criteria terms = criteria_for(request.service, request.extra);
+    terms.tried = request.tried;
+    const choice_result chosen = m_choice.choose(terms, now);
+    if (!std::holds_alternative<backend_server_id>(chosen)) {
+        return false;
+    }
+    const auto server = std::get<backend_server_id>(chosen);
+    const server_row& row = *m_servers.find(server);
+    const exchange_id exchange(++m_last_exchange);
+    m_exchanges[exchange] = {{},
+                             request.outbound,
+                             request.print,
+                             server,
+                             request.service,
+                             route_id(),
+                             now,
+                             false,
+                             {},
+                             asked.token};
+    m_relayed[asked.token] = exchange;
+    m_overdue.schedule(exchange, now + request.deadline + abandoned_timeout);
+    m_observer.sent(server, exchange, now);
+    m_server_limits.record_sent(server, now);
+    out.push_back(start_exchange{
+        exchange, server, row.entry.address, row.entry.name, request.workspace,
+        request.deadline, request.repeatable, request.outbound});
+    return true;
+}
+
+void call_sender::withdraw(relay_token token, time_point now,
+                           gateway_commands& out)
+{
+    const auto found = m_relayed.find(token);
+    if (found != m_relayed.end()) {
+        cancel(found->second, now, out);
+    }
+}
+
 std::optional<exchange_row> call_sender::end(const exchange_ended& ended,
                                              time_point now,
                                              gateway_commands& out)
@@ -141,7 +238,12 @@
     const exchange_row row = found->second;
     m_exchanges.erase(found);
     m_overdue.remove(ended.exchange);
-    observe(row, ended, now, out);
+    m_relayed.erase(row.relayed_for);
+    if (row.relayed_by.empty()) {
+        observe(row, ended, now, out);
+    } else {
+        observe_relayed(row, ended, now, out);
+    }
     return row;
 }
 
@@ -161,7 +263,30 @@
     m_observer.answered(row.server, ended.exchange, !answer->not_run, now);
     if (answer->not_run) {
         m_suspicions.found(row.server, suspicion_cause::refused, now, out);
-    } else {
+    } else if (row.route.is_set()) {
+        m_latencies.observe(row.route, now - row.sent_at, now);
+    }
+}
+
+// What the server says of itself holds for this VM too: its caller gets the
+// answer.
+void call_sender::observe_relayed(const exchange_row& row,
+                                  const exchange_ended& ended, time_point now,
+                                  gateway_commands& out)
+{
+    m_relay_peers.ended(row.relayed_by, ended, now);
+    if (const auto* failure = std::get_if<exchange_failure>(&ended.result)) {
+        log_lost_send(row, "relayed_by_" + row.relayed_by, failure->fault, now,
+                      out);
+        return;
+    }
+    const auto& answer = std::get<backend_answer>(ended.result);
+    exchange_row served = row;
+    served.server = ended.server;
+    if (ended.server.is_set() && !answer.misdirected) {
+        observe_server_state(served, answer, now, out);
+    }
+    if (!answer.not_run && answer.status < 500) {
         m_latencies.observe(row.route, now - row.sent_at, now);
     }
 }
@@ -230,6 +355,10 @@
         return;
     }
     m_observer.cancelled(found->second.server, exchange, now);
+    if (!found->second.relayed_by.empty()) {
+        m_relay_peers.cancelled(found->second.relayed_by);
+    }
+    m_relayed.erase(found->second.relayed_for);
     m_exchanges.erase(found);
     m_overdue.remove(exchange);
     out.push_back(cancel_exchange{exchange});
@@ -238,6 +367,13 @@
 void call_sender::cancel_overdue(time_point now, gateway_commands& out)
 {
     while (const auto exchange = m_overdue.pop_due(now)) {
+        const auto found = m_exchanges.find(*exchange);
+        if (found != m_exchanges.end() && found->second.relayed_for.is_set()) {
+            out.push_back(answer_relay{
+                found->second.relayed_for,
+                {*exchange, exchange_failure{exchange_fault::connection_lost},
+                 found->second.server}});
+        }
         cancel(*exchange, now, out);
     }
 }
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_CORE_CALL_SENDER_HPP
 
 #include "core/gateway_settings.hpp"
+#include "systems/members/relay_peers.hpp"
 #include "systems/queries/extra_send_limits.hpp"
 #include "systems/queries/latency_estimate.hpp"
 #include "systems/queries/stragglers.hpp"
@@ -47,6 +48,10 @@
     time_point sent_at;
     /** The answer is no longer needed. */
     bool abandoned = false;
+    /** Peer that relays it; empty if this VM sent it. */
+    std::string relayed_by;
+    /** Set if this VM relays it for a peer. */
+    relay_token relayed_for;
 };
 
 /**
@@ -58,7 +63,7 @@
 public:
     call_sender(const gateway_settings& settings, server_table& servers,
                 server_choice& choice, server_limits& limits,
-                server_suspicions& suspicions);
+                server_suspicions& suspicions, relay_peers& peers);
 
     void catalogue_changed(std::shared_ptr<const catalogue> limits);
     void fleet_changed(std::uint32_t vms);
@@ -68,6 +73,23 @@
                       send_purpose purpose, time_point now,
                       gateway_commands& out);
 
+    /** Asks a peer to relay a send of a call. */
+    send_outcome relay(open_request& request, std::uint32_t call,
+                       send_purpose purpose, time_point now,
+                       gateway_commands& out);
+    /**
+     * Sends for a peer, if a server has room; returns whether it did. The
+     * request and its extra sends count at the peer only.
+     */
+    bool send_for_peer(const relay_requested& asked, time_point now,
+                       gateway_commands& out);
+    /** Cancels the send for a peer that no longer needs the answer. */
+    void withdraw(relay_token token, time_point now, gateway_commands& out);
+    std::size_t relayed_count() const
+    {
+        return m_relayed.size();
+    }
+
     /** Credits the extra-send budget for a call, whether sent or not. */
     void count_request(service_id service);
 
@@ -106,6 +128,10 @@
     void observe_failure(const exchange_row& row, const exchange_ended& ended,
                          time_point now, gateway_commands& out);
 
+    choice_criteria criteria_for(service_id service, bool extra) const;
+    void observe_relayed(const exchange_row& row, const exchange_ended& ended,
+                         time_point now, gateway_commands& out);
+
     std::string name_of_server(backend_server_id server) const;
 
     gateway_settings m_settings;
@@ -113,12 +139,15 @@
     server_choice& m_choice;
     server_limits& m_server_limits;
     server_suspicions& m_suspicions;
+    relay_peers& m_relay_peers;
     server_observer m_observer;
     route_latency_estimate m_latencies;
     std::shared_ptr<const catalogue> m_limits;
     std::uint32_t m_vms;
     std::unordered_map<exchange_id, exchange_row> m_exchanges;
     due_queue<exchange_id> m_overdue;
+    /** Exchanges that are sent for peers. */
+    std::unordered_map<relay_token, exchange_id> m_relayed;
     extra_send_limits m_extra_sends;
     std::uint64_t m_last_exchange = 0;
 };
--- a/src/core/crash_watch.cpp
+++ b/src/core/crash_watch.cpp
@@ -51,6 +51,7 @@
         return;
     case exchange_fault::not_connected:
     case exchange_fault::invalid_answer:
+    case exchange_fault::declined:
         return;
     }
 }
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -25,6 +25,8 @@
 constexpr duration hedge_retry_interval = 12ms;
 /** Largest number of sends of one call, including sends proved not run. */
 constexpr std::size_t max_attempts = 4;
+/** Largest number of sends that this VM relays for peers at a time. */
+constexpr std::size_t max_relayed = 256;
 
 void log(log_code code, std::string text, gateway_commands& out)
 {
@@ -39,11 +41,13 @@
     : m_members(settings.member, random, now), m_rates(m_members),
       m_directory(m_servers), m_server_limits(m_servers, m_members),
       m_suspicions(m_servers), m_choice(m_servers, m_server_limits, random),
-      m_sender(settings, m_servers, m_choice, m_server_limits, m_suspicions),
+      m_reachability(m_servers, random), m_relay_peers(m_members, random),
+      m_sender(settings, m_servers, m_choice, m_server_limits, m_suspicions,
+               m_relay_peers),
       m_crash_watch(m_servers, m_quarantine),
       m_admission(m_rates, m_waiting, m_quarantine, m_choice, random),
       m_peers(m_members, incarnation(random.next() | 1U), m_rates,
-              m_server_limits, m_quarantine, now)
+              m_server_limits, m_quarantine, m_relay_peers, now)
 {
 }
 
@@ -63,6 +67,8 @@
     }
     m_sender.cancel_overdue(now, out);
     m_crash_watch.tick(now, out);
+    m_reachability.tick(now, out);
+    links_changed(now, out);
     while (const auto service = m_reopenings.pop_due(now)) {
         serve_waiting(*service, now, out);
     }
@@ -76,6 +82,7 @@
         m_directory.drop_unlisted(now);
         m_quarantine.drop_expired(now);
         m_server_limits.drop_expired(now);
+        m_relay_peers.drop_silent(now);
         serve_all_waiting(now, out);
     }
     broadcast_news(now, out);
@@ -87,7 +94,7 @@
     std::optional<time_point> next = m_due.next_due();
     for (const auto& other :
          {m_sender.next_overdue(), m_crash_watch.next_wakeup(),
-          m_reopenings.next_due()}) {
+          m_reachability.next_wakeup(), m_reopenings.next_due()}) {
         if (other && (!next || *other < *next)) {
             next = other;
         }
@@ -249,7 +256,9 @@
         return;
     }
     m_waiting.record_completion(row->service, now);
-    m_crash_watch.exchange_ended(*row, ended, now, out);
+    if (row->relayed_by.empty()) {
+        direct_exchange_ended(*row, ended, now, out);
+    }
     open_request* request = row->abandoned ? nullptr : find(row->call.request);
     if (request != nullptr) {
         apply_result(*request, row->call.call, ended, now, out);
@@ -261,10 +270,81 @@
     serve_waiting(row->service, now, out);
 }
 
+// While the links are lost, a refused connection says nothing of its server.
+void gateway::direct_exchange_ended(const exchange_row& row,
+                                    const exchange_ended& ended, time_point now,
+                                    gateway_commands& out)
+{
+    m_reachability.exchange_ended(row.server, ended, now);
+    if (!m_reachability.lost()) {
+        m_crash_watch.exchange_ended(row, ended, now, out);
+    }
+    if (row.relayed_for.is_set()) {
+        out.push_back(answer_relay{row.relayed_for,
+                                   {ended.exchange, ended.result, row.server}});
+    }
+}
+
 void gateway::on(const server_probed& probed, time_point now,
                  gateway_commands& out)
 {
-    m_crash_watch.server_probed(probed, now, out);
+    m_reachability.server_probed(probed, now, out);
+    if (!m_reachability.lost()) {
+        m_crash_watch.server_probed(probed, now, out);
+    }
+    links_changed(now, out);
+}
+
+void gateway::links_changed(time_point now, gateway_commands& out)
+{
+    if (m_reachability.lost() == m_links_lost) {
+        return;
+    }
+    m_links_lost = m_reachability.lost();
+    m_peers.accept_relays(!m_links_lost && !m_leaving);
+    m_peers.broadcast({}, now, out);
+    serve_all_waiting(now, out);
+}
+
+void gateway::on(const vm_leaving& /*leaving*/, time_point now,
+                 gateway_commands& out)
+{
+    m_leaving = true;
+    m_peers.accept_relays(false);
+    m_peers.broadcast({}, now, out);
+}
+
+void gateway::on(const relay_requested& asked, time_point now,
+                 gateway_commands& out)
+{
+    const char* why = nullptr;
+    if (m_leaving) {
+        why = "leaving";
+    } else if (m_links_lost) {
+        why = "no_links";
+    } else if (m_sender.relayed_count() >= max_relayed ||
+               m_waiting.has_waiting(asked.request.service)) {
+        why = "own_callers_wait";
+    } else if (m_quarantine.refused_for(asked.request.print, now)) {
+        why = "crashes_servers";
+    } else if (!m_sender.send_for_peer(asked, now, out)) {
+        why = "no_server";
+    }
+    if (why == nullptr) {
+        return;
+    }
+    log(log_code::relay_declined,
+        "request=" + asked.request.outbound->id + " service=" +
+            std::to_string(asked.request.service.value()) + " why=" + why,
+        out);
+    out.push_back(answer_relay{
+        asked.token, {{}, exchange_failure{exchange_fault::declined}, {}}});
+}
+
+void gateway::on(const relay_withdrawn& withdrawn, time_point now,
+                 gateway_commands& out)
+{
+    m_sender.withdraw(withdrawn.token, now, out);
 }
 
 void gateway::on(const catalogue_read& read, time_point now,
@@ -361,7 +441,10 @@
         m_quarantine.is_suspect(request.print)) {
         return;
     }
-    switch (m_sender.send(request, call, purpose, now, out)) {
+    const send_outcome outcome =
+        m_links_lost ? m_sender.relay(request, call, purpose, now, out)
+                     : m_sender.send(request, call, purpose, now, out);
+    switch (outcome) {
     case send_outcome::sent:
         return;
     case send_outcome::all_at_capacity:
@@ -408,6 +491,9 @@
             return s.exchange == ended.exchange;
         });
     send->open = false;
+    if (ended.server.is_set()) {
+        send->server = ended.server;
+    }
     if (const auto* failure = std::get_if<exchange_failure>(&ended.result)) {
         send->unsent = nothing_written(failure->fault);
         send->not_run = send->unsent;
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -10,6 +10,7 @@
 #include "core/random_source.hpp"
 #include "systems/queries/stragglers.hpp"
 #include "systems/rates/token_waiters.hpp"
+#include "systems/servers/server_reachability.hpp"
 #include "systems/servers/server_suspicions.hpp"
 #include "tables/due_queue.hpp"
 
@@ -57,6 +58,16 @@
     {
         return m_servers.size();
     }
+    /** Returns the number of exchanges that this VM relays for peers. */
+    std::size_t relayed_count() const
+    {
+        return m_sender.relayed_count();
+    }
+    /** Returns whether requests can reach servers, through peers if need be. */
+    bool reaches_servers(time_point now) const
+    {
+        return !m_links_lost || m_relay_peers.available(now);
+    }
 
 private:
     void on(const request_received& asked, time_point now,
@@ -75,6 +86,16 @@
             gateway_commands& out);
     void on(const store_restored& restored, time_point now,
             gateway_commands& out);
+    void on(const relay_requested& asked, time_point now,
+            gateway_commands& out);
+    void on(const vm_leaving& leaving, time_point now, gateway_commands& out);
+    void on(const relay_withdrawn& withdrawn, time_point now,
+            gateway_commands& out);
+    void direct_exchange_ended(const exchange_row& row,
+                               const exchange_ended& ended, time_point now,
+                               gateway_commands& out);
+    /** Applies the loss or the return of the links to the servers. */
+    void links_changed(time_point now, gateway_commands& out);
     void on(const datagram_received& datagram, time_point now,
             gateway_commands& out);
     void update_fleet_size(time_point now, gateway_commands& out);
@@ -133,6 +154,10 @@
     waiting_calls m_waiting;
     crash_quarantine m_quarantine;
 
+    server_reachability m_reachability;
+    relay_peers m_relay_peers;
+    bool m_links_lost = false;
+    bool m_leaving = false;
     call_sender m_sender;
     crash_watch m_crash_watch;
     gateway_admission m_admission;
--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -89,6 +89,8 @@
     std::uint32_t fleet_size = 1;
     /** The sender has run long enough to have discovered the fleet. */
     bool settled = false;
+    /** The sender relays exchanges for VMs without links to servers. */
+    bool accepts_relays = false;
     std::vector<member_hint> members;
     std::vector<token_ask> asks;
     std::vector<token_grant> grants;
--- a/src/core/gateway_messages.cpp
+++ b/src/core/gateway_messages.cpp
@@ -39,7 +39,8 @@
 bool nothing_written(exchange_fault fault)
 {
     return fault == exchange_fault::not_connected ||
-           fault == exchange_fault::connection_refused;
+           fault == exchange_fault::connection_refused ||
+           fault == exchange_fault::declined;
 }
 
 const char* name_of(exchange_fault fault)
@@ -55,6 +56,8 @@
         return "connection_lost";
     case exchange_fault::invalid_answer:
         return "invalid_answer";
+    case exchange_fault::declined:
+        return "declined";
     }
     return "unknown";
 }
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_CORE_GATEWAY_MESSAGES_HPP
 
 #include "core/gateway_datagram.hpp"
+#include "core/relay_messages.hpp"
 #include "tables/backend_server_entry.hpp"
 #include "tables/catalogue.hpp"
 #include "units/ids.hpp"
@@ -105,6 +106,8 @@
     kept_connection_lost,
     /** The bytes received are not a valid answer to this request. */
     invalid_answer,
+    /** The peer that was asked to relay it did not; nothing was written. */
+    declined,
 };
 
 struct exchange_failure
@@ -120,6 +123,27 @@
 {
     exchange_id exchange;
     std::variant<backend_answer, exchange_failure> result;
+    /** Server that a peer chose; unset if this VM sent it, or if none is known.
+     */
+    backend_server_id server{};
+};
+
+/** A peer without links to servers asks to relay an exchange. */
+struct relay_requested
+{
+    relay_token token;
+    relay_request request;
+};
+
+/** This VM has begun to stop: it relays nothing more for peers. */
+struct vm_leaving
+{
+};
+
+/** A peer no longer needs the answer to an exchange that it asked for. */
+struct relay_withdrawn
+{
+    relay_token token;
 };
 
 /** What became of an attempt to connect to a backend server. */
@@ -188,7 +212,8 @@
     std::variant<request_received, caller_disconnected, exchange_ended,
                  server_probed, catalogue_read, servers_reported,
                  server_unlisted, evacuations_read, store_reachability_changed,
-                 store_restored, datagram_received>;
+                 store_restored, datagram_received, relay_requested,
+                 relay_withdrawn, vm_leaving>;
 
 /** Send a request to a backend server. */
 struct start_exchange
@@ -206,6 +231,22 @@
     std::shared_ptr<const outbound_request> request;
 };
 
+/** Ask a peer to relay an exchange. */
+struct start_relay
+{
+    exchange_id exchange;
+    /** `host:port` at which the peer receives datagrams. */
+    std::string peer;
+    relay_request request;
+};
+
+/** Tell a peer how the exchange that it asked for ended. */
+struct answer_relay
+{
+    relay_token token;
+    exchange_ended ended;
+};
+
 /** Cancel an exchange and close its connection. */
 struct cancel_exchange
 {
@@ -291,8 +332,8 @@
 };
 
 using gateway_command =
-    std::variant<start_exchange, cancel_exchange, probe_server,
-                 answer_to_caller, send_datagram, gateway_log>;
+    std::variant<start_exchange, start_relay, answer_relay, cancel_exchange,
+                 probe_server, answer_to_caller, send_datagram, gateway_log>;
 
 /** Commands in the order in which they are to be carried out. */
 using gateway_commands = std::vector<gateway_command>;
--- a/src/core/gateway_peers.cpp
+++ b/src/core/gateway_peers.cpp
@@ -25,10 +25,11 @@
 
 gateway_peers::gateway_peers(member_directory& members, incarnation process,
                              rate_slices& rates, server_limits& limits,
-                             crash_quarantine& quarantine, time_point now)
+                             crash_quarantine& quarantine, relay_peers& relays,
+                             time_point now)
     : m_process(process), m_rates(rates), m_limits(limits),
-      m_quarantine(quarantine), m_members(members), m_next_heartbeat(now),
-      m_next_asks(now + ask_interval), m_news_budget(now)
+      m_quarantine(quarantine), m_relay_peers(relays), m_members(members),
+      m_next_heartbeat(now), m_next_asks(now + ask_interval), m_news_budget(now)
 {
 }
 
@@ -37,6 +38,7 @@
 {
     const gateway_datagram& datagram = event.datagram;
     m_members.received(event.from, datagram, now);
+    m_relay_peers.received(event.from, datagram.accepts_relays);
     for (const token_grant& grant : datagram.grants) {
         m_rates.receive_grant(grant, now);
     }
@@ -48,12 +50,18 @@
         answer.grants.push_back(m_rates.lend(ask, now));
     }
     if (!answer.grants.empty()) {
-        m_members.fill(answer, now);
-        answer.process = m_process;
+        stamp(answer, now);
         out.push_back(send_datagram{event.from, std::move(answer)});
     }
 }
 
+void gateway_peers::stamp(gateway_datagram& datagram, time_point now) const
+{
+    datagram.process = m_process;
+    datagram.accepts_relays = m_accepts_relays;
+    m_members.fill(datagram, now);
+}
+
 void gateway_peers::tick(time_point now, gateway_commands& out)
 {
     if (now >= m_next_heartbeat) {
@@ -75,8 +83,7 @@
 gateway_datagram gateway_peers::heartbeat(time_point now)
 {
     gateway_datagram datagram;
-    datagram.process = m_process;
-    m_members.fill(datagram, now);
+    stamp(datagram, now);
     m_members.add_hints(datagram, now);
     datagram.limits = m_limits.reports_to_repeat(now);
     datagram.crashes = m_quarantine.reports_to_repeat(now);
@@ -98,8 +105,7 @@
 {
     m_news_budget.refill(news_datagrams_per_second * tokens_per_request,
                          news_datagram_burst * tokens_per_request, now);
-    m_members.fill(news, now);
-    news.process = m_process;
+    stamp(news, now);
     for (const std::string& to : m_members.live(now)) {
         if (m_news_budget.tokens() < tokens_per_request) {
             return;
@@ -117,8 +123,7 @@
         by_peer[ask.to].asks.push_back(ask.ask);
     }
     for (auto& [to, datagram] : by_peer) {
-        m_members.fill(datagram, now);
-        datagram.process = m_process;
+        stamp(datagram, now);
         out.push_back(send_datagram{to, std::move(datagram)});
     }
 }
--- a/src/core/gateway_peers.hpp
+++ b/src/core/gateway_peers.hpp
@@ -3,6 +3,7 @@
 
 #include "core/gateway_messages.hpp"
 #include "systems/members/member_directory.hpp"
+#include "systems/members/relay_peers.hpp"
 #include "systems/queries/crash_quarantine.hpp"
 #include "systems/rates/rate_slices.hpp"
 #include "systems/servers/server_limits.hpp"
@@ -18,7 +19,8 @@
 public:
     gateway_peers(member_directory& members, incarnation process,
                   rate_slices& rates, server_limits& limits,
-                  crash_quarantine& quarantine, time_point now);
+                  crash_quarantine& quarantine, relay_peers& relays,
+                  time_point now);
 
     void received(const datagram_received& event, time_point now,
                   gateway_commands& out);
@@ -31,7 +33,14 @@
     void send_asks(const std::vector<addressed_ask>& asks, time_point now,
                    gateway_commands& out);
 
+    /** Sets whether peers are told that this VM relays for them. */
+    void accept_relays(bool accepted)
+    {
+        m_accepts_relays = accepted;
+    }
+
 private:
+    void stamp(gateway_datagram& datagram, time_point now) const;
     gateway_datagram heartbeat(time_point now);
     void send_heartbeats(time_point now, gateway_commands& out);
 
@@ -39,6 +48,8 @@
     rate_slices& m_rates;
     server_limits& m_limits;
     crash_quarantine& m_quarantine;
+    relay_peers& m_relay_peers;
+    bool m_accepts_relays = true;
     member_directory& m_members;
     time_point m_next_heartbeat;
     time_point m_next_asks;
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -44,6 +44,8 @@
     server_closed = 1507,
     server_limit_changed = 1508,
     server_leaving = 1509,
+    server_links_changed = 1510,
+    relay_declined = 1511,
     request_refused = 1601,
     request_not_served = 1602,
     request_malformed = 1603,
--- a/src/loop/control_front.cpp
+++ b/src/loop/control_front.cpp
@@ -52,6 +52,19 @@
     m_pages[path] = std::move(answer);
 }
 
+void control_front::serve_calls(const std::string& path, call_handler called,
+                                closed_handler closed)
+{
+    m_call_paths[path] = {std::move(called), std::move(closed)};
+}
+
+void control_front::answer(caller_token token, std::string body)
+{
+    if (m_calls.erase(token) != 0) {
+        m_front.answer(token, {ok, "", std::move(body)});
+    }
+}
+
 std::optional<std::string> control_front::listen(const endpoint& address)
 {
     return m_front.listen(address);
@@ -97,6 +110,12 @@
         follow(token, target);
         return;
     }
+    const auto call = m_call_paths.find(path);
+    if (call != m_call_paths.end()) {
+        m_calls[token] = call->second.closed;
+        call->second.called(token, request.body());
+        return;
+    }
     const auto found = m_pages.find(path);
     m_front.answer(token, found == m_pages.end()
                               ? http_answer_text{not_found, "", ""}
@@ -131,6 +150,12 @@
 void control_front::caller_closed(caller_token token)
 {
     m_waiters.erase(token);
+    const auto call = m_calls.find(token);
+    if (call != m_calls.end()) {
+        const closed_handler closed = std::move(call->second);
+        m_calls.erase(call);
+        closed(token);
+    }
 }
 
 void control_front::bytes_refused(unsigned /*status*/)
--- a/src/loop/control_front.hpp
+++ b/src/loop/control_front.hpp
@@ -27,10 +27,21 @@
     using update_source =
         std::function<mirror_update(incarnation process, std::uint64_t place)>;
 
+    /** Told of a call with a body; answers by `answer`, later or at once. */
+    using call_handler =
+        std::function<void(caller_token token, const std::string& body)>;
+    /** Told that the caller of an unanswered call has closed. */
+    using closed_handler = std::function<void(caller_token token)>;
+
     control_front(loop_context& loop, update_source updates);
 
     /** Sets what a path answers. */
     void serve(const std::string& path, page answer);
+    /** Sets who handles the calls to a path. */
+    void serve_calls(const std::string& path, call_handler called,
+                     closed_handler closed);
+    /** Answers a call. */
+    void answer(caller_token token, std::string body);
     std::optional<std::string> listen(const endpoint& address);
 
     /** Answers those that wait for news, up to a place. */
@@ -52,12 +63,21 @@
     };
 
     void follow(caller_token token, const std::string& target);
+    struct call_path
+    {
+        call_handler called;
+        closed_handler closed;
+    };
+
     void answer_waiter(caller_token token, const waiter& w);
 
     loop_context& m_loop;
     update_source m_updates;
     caller_front m_front;
     std::map<std::string, page> m_pages;
+    std::map<std::string, call_path> m_call_paths;
+    /** Unanswered calls, and who is told when their callers close. */
+    std::map<caller_token, closed_handler> m_calls;
     std::map<caller_token, waiter> m_waiters;
 };
 
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "loop/gateway_process.hpp"
 
 #include "core/request_log.hpp"
+#include "wire/relay_codec.hpp"
 
 #include <csignal>
 #include <random>
@@ -59,6 +60,8 @@
                           return update_for_followers(process, place);
                       }),
       m_links(m_loop, *this),
+      m_relay_links(m_loop, m_file.control.port,
+                    [this](exchange_ended ended) { handle(ended); }),
       m_peers(
           m_loop,
           [this](const std::string& from, gateway_datagram datagram) {
@@ -105,6 +108,14 @@
         constexpr unsigned unavailable = 503;
         return http_answer_text{ready() ? ok : unavailable, "", ""};
     });
+    m_control_front.serve_calls(
+        relay_path,
+        [this](caller_token token, const std::string& body) {
+            relay_asked(token, body);
+        },
+        [this](caller_token token) {
+            handle(relay_withdrawn{relay_token(token.value())});
+        });
     for (const auto& error :
          {m_front.listen(m_file.callers), m_ready_front.listen(m_file.ready),
           m_control_front.listen(m_file.control),
@@ -117,6 +128,20 @@
     return true;
 }
 
+void gateway_process::relay_asked(caller_token token, const std::string& body)
+{
+    auto decoded = decode_relay_request(body);
+    if (const auto* fault = std::get_if<wire_error>(&decoded)) {
+        m_log.write(log_code::peer_frame_refused, "why=\"" + fault->what + '"');
+        m_control_front.answer(
+            token, encode_relay_result(
+                       {{}, exchange_failure{exchange_fault::declined}, {}}));
+        return;
+    }
+    handle(relay_requested{relay_token(token.value()),
+                           std::get<relay_request>(std::move(decoded))});
+}
+
 void gateway_process::request_read(caller_token token, http_request request,
                                    duration network_time)
 {
@@ -356,9 +381,19 @@
             process.m_links.start(start,
                                   process.m_adapter.write_exchange(start));
         }
+        void operator()(const start_relay& relay) const
+        {
+            process.m_relay_links.start(relay);
+        }
+        void operator()(const answer_relay& answer) const
+        {
+            process.m_control_front.answer(caller_token(answer.token.value()),
+                                           encode_relay_result(answer.ended));
+        }
         void operator()(const cancel_exchange& cancel) const
         {
             process.m_links.cancel(cancel.exchange);
+            process.m_relay_links.cancel(cancel.exchange);
         }
         void operator()(const probe_server& probe) const
         {
@@ -410,13 +445,16 @@
     m_control_front.sweep(now);
     choose_store_source();
     m_links.sweep(now);
+    m_relay_links.sweep(now);
     m_log.report_dropped();
     if (m_stopping_since) {
         const duration stopping = now - *m_stopping_since;
         if (stopping > balancer_lag) {
             m_front.close_idle();
         }
-        const bool done = stopping > balancer_lag && m_front.connections() == 0;
+        const bool done = stopping > balancer_lag &&
+                          m_front.connections() == 0 &&
+                          m_gateway.relayed_count() == 0;
         if (done || stopping > m_file.stop_within - stop_margin) {
             m_log.write(log_code::node_left,
                         "requests_in_flight=" +
@@ -471,6 +509,7 @@
     }
     m_stopping_since = m_clock.now();
     m_front.close_after_answers();
+    handle(vm_leaving{});
     m_log.write(log_code::node_leaving,
                 "requests_in_flight=" +
                     std::to_string(m_gateway.open_request_count()));
@@ -484,7 +523,7 @@
     const time_point now = m_clock.now();
     const bool knows_fleet =
         m_gateway.members().settled(now) || now - m_started >= longest_unready;
-    return !m_stopping_since && knows_fleet &&
+    return !m_stopping_since && knows_fleet && m_gateway.reaches_servers(now) &&
            m_gateway.settings() != nullptr && m_gateway.server_count() > 0;
 }
 
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -11,6 +11,7 @@
 #include "loop/loop_lag.hpp"
 #include "loop/mirror_reader.hpp"
 #include "loop/peer_socket.hpp"
+#include "loop/relay_links.hpp"
 #include "loop/store_reader.hpp"
 #include "systems/store/store_mirror.hpp"
 #include "systems/store/store_readers.hpp"
@@ -54,6 +55,7 @@
 
 private:
     bool listen();
+    void relay_asked(caller_token token, const std::string& body);
     void handle(const gateway_event& event);
     void carry_out(const gateway_commands& commands);
     void plan_wakeup();
@@ -89,6 +91,7 @@
     control_front m_ready_front;
     control_front m_control_front;
     backend_links m_links;
+    relay_links m_relay_links;
     peer_socket m_peers;
     store_reader m_settings_reader;
     store_reader m_servers_reader;
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -13,7 +13,7 @@
 
 http_client::http_client(loop_context& loop, endpoint address)
     : m_loop(loop), m_address(std::move(address)), m_timer(loop.io),
-      m_reader(answer_limits)
+      m_connect_timer(loop.io), m_reader(answer_limits)
 {
 }
 
@@ -25,12 +25,29 @@
 
 void http_client::get(const std::string& target, duration timeout,
                       done_handler done)
+{
+    call("GET " + target + " HTTP/1.1\r\nHost: " + to_string(m_address) +
+             "\r\n\r\n",
+         {timeout, timeout}, std::move(done));
+}
+
+void http_client::post(const std::string& target, const std::string& body,
+                       const call_limits& limits, done_handler done)
+{
+    call("POST " + target + " HTTP/1.1\r\nHost: " + to_string(m_address) +
+             "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+             body,
+         limits, std::move(done));
+}
+
+void http_client::call(std::string request, const call_limits& limits,
+                       done_handler done)
 {
     m_done = std::move(done);
-    m_request = "GET " + target + " HTTP/1.1\r\nHost: " + to_string(m_address) +
-                "\r\n\r\n";
+    m_request = std::move(request);
+    m_request_written = false;
     const std::uint64_t call = ++m_call;
-    m_timer.expires_after(timeout);
+    m_timer.expires_after(limits.answer);
     m_timer.async_wait([this, call, alive = m_alive](const error_code& error) {
         if (!error && *alive && call == m_call) {
             finish("no answer in time");
@@ -39,6 +56,7 @@
     if (m_stream && m_stream->is_open()) {
         write_request();
     } else {
+        m_connect_timer.expires_after(limits.connect);
         connect(call);
     }
 }
@@ -57,6 +75,12 @@
         });
         return;
     }
+    m_connect_timer.async_wait([this, call, alive = m_alive](
+                                   const error_code& timer_error) {
+        if (!timer_error && *alive && call == m_call && !m_request_written) {
+            finish("no connection in time");
+        }
+    });
     m_stream->socket().async_connect(
         {ip, m_address.port}, [this, call, alive = m_alive, stream = m_stream](
                                   const error_code& connect_error) {
@@ -75,6 +99,8 @@
 
 void http_client::write_request()
 {
+    m_connect_timer.cancel();
+    m_request_written = true;
     m_stream->write(m_request);
 }
 
--- a/src/systems/queries/waiting_calls.cpp
+++ b/src/systems/queries/waiting_calls.cpp
@@ -80,6 +80,17 @@
     return services;
 }
 
+bool waiting_calls::has_waiting(service_id service) const
+{
+    const auto found = m_queues.find(service);
+    if (found == m_queues.end()) {
+        return false;
+    }
+    const auto& queues = found->second.by_priority;
+    return std::any_of(queues.begin(), queues.end(),
+                       [](const auto& queue) { return !queue.second.empty(); });
+}
+
 bool waiting_calls::empty() const
 {
     return services().empty();
--- a/src/systems/queries/waiting_calls.hpp
+++ b/src/systems/queries/waiting_calls.hpp
@@ -37,6 +37,7 @@
 
     /** Returns the services with waiting calls. */
     std::vector<service_id> services() const;
+    bool has_waiting(service_id service) const;
     bool empty() const;
 
 private:
--- a/src/tests/soak/soak_exchanges.cpp
+++ b/src/tests/soak/soak_exchanges.cpp
@@ -30,6 +30,10 @@
 {
     const std::uint64_t process = m_vms[index].process;
     const bool leaving = m_vms[index].leaving.count(command.server) != 0;
+    if (!passes_link(index)) {
+        fail_on_link(index, process, command.exchange);
+        return;
+    }
     after(delay(), [this, index, process, command, leaving] {
         receive(index, process, command, leaving);
     });
@@ -84,9 +88,13 @@
     const std::uint64_t process = m_vms[index].process;
     after(delay() * 2, [this, index, process, command] {
         const soak_server& server = *at(command.address);
-        const probe_result result = server.up     ? probe_result::accepted
-                                    : server.dark ? probe_result::unreachable
-                                                  : probe_result::refused;
+        const link_state links = m_vms[index].links;
+        const bool silent = links == link_state::silent ||
+                            (links == link_state::up && server.dark);
+        const bool accepted = links == link_state::up && server.up;
+        const probe_result result = accepted ? probe_result::accepted
+                                    : silent ? probe_result::unreachable
+                                             : probe_result::refused;
         in_process(index, process, [this, index, command, result] {
             feed(index, server_probed{command.server, result});
         });
@@ -157,10 +165,17 @@
     std::variant<backend_answer, exchange_failure> result)
 {
     after(delay(), [this, index, process, exchange, result] {
-        in_process(index, process, [this, index, exchange, result] {
-            feed(index, exchange_ended{exchange, result});
-        });
+        const bool answered = std::holds_alternative<backend_answer>(result);
+        if (!answered || !loses_answer(index, process, exchange)) {
+            deliver_end(index, process, {exchange, result});
+        }
     });
 }
 
+void soak_world::deliver_end(std::size_t index, std::uint64_t process,
+                             const exchange_ended& ended)
+{
+    in_process(index, process, [this, index, ended] { feed(index, ended); });
+}
+
 } // namespace cranberrywood::soak
--- a/src/tests/soak/soak_faults.cpp
+++ b/src/tests/soak/soak_faults.cpp
@@ -20,7 +20,7 @@
 {
     const std::size_t one = m_random.below(m_vms.size());
     const std::size_t other = m_random.below(m_vms.size());
-    switch (m_random.below(12)) {
+    switch (m_random.below(14)) {
     case 0:
         kill_vm(one);
         return;
@@ -47,6 +47,14 @@
         publish(m_random.below(2) == 0 ? pressing_workspace : "");
         return;
     case 8:
+        cut_links_of_some();
+        return;
+    case 9:
+        for (std::size_t index = 0; index < m_vms.size(); ++index) {
+            cut_links(index, link_state::up);
+        }
+        return;
+    case 10:
         for (std::size_t index = 0; index < m_vms.size(); ++index) {
             kill_vm(index);
         }
@@ -87,6 +95,7 @@
     m_cuts.clear();
     m_loss_per_mille = 0;
     for (std::size_t index = 0; index < m_vms.size(); ++index) {
+        cut_links(index, link_state::up);
         if (m_vms[index].store_cut) {
             m_vms[index].store_cut = false;
             feed(index, store_reachability_changed{true});
--- a/src/tests/soak/soak_world.cpp
+++ b/src/tests/soak/soak_world.cpp
@@ -12,11 +12,6 @@
 constexpr duration grace_for_tail = 3s;
 constexpr std::uint64_t single_service = 100;
 constexpr std::uint64_t requests_per_fatal = 200;
-std::string vm_address(std::size_t vm)
-{
-    return "10.0.0." + std::to_string(vm + 1) + ":" + std::to_string(peer_port);
-}
-
 service_id service(std::uint64_t number)
 {
     return id_of<service_id>("service-" + std::to_string(number));
@@ -41,6 +36,11 @@
 
 } // namespace
 
+std::string vm_address(std::size_t vm)
+{
+    return "10.0.0." + std::to_string(vm + 1) + ":" + std::to_string(peer_port);
+}
+
 std::vector<workspace_limit> soak_world::workspaces()
 {
     return {{steady_workspace, 120.0, 60.0}, {pressing_workspace, 20.0, 10.0}};
@@ -88,8 +88,7 @@
     run_until(m_now + without);
     m_quiet = true;
     run_until(m_now + without);
-    m_asking = false;
-    run_until(m_now + grace_for_tail);
+    finish();
     for (const asked_request& request : m_trace.requests) {
         // Only what was asked when everything had recovered.
         if (request.at + without + grace_for_tail < m_now ||
@@ -105,6 +104,21 @@
     }
 }
 
+void soak_world::play_steady(duration length)
+{
+    const bool asked_before = std::exchange(m_asking, true);
+    if (!asked_before) {
+        next_request();
+    }
+    run_until(m_now + length);
+}
+
+void soak_world::finish()
+{
+    m_asking = false;
+    run_until(m_now + grace_for_tail);
+}
+
 void soak_world::after(duration delay, std::function<void()> run)
 {
     m_due.push({m_now + delay, ++m_order, std::move(run)});
@@ -167,6 +181,7 @@
         m_trace.requests[request].disturbed = true;
     }
     v.callers.clear();
+    end_relays_of(index);
     v.core.reset();
     after(500ms + delay() * 100, [this, index] { start_vm(index); });
 }
@@ -219,6 +234,12 @@
         } else if (const auto* datagram =
                        std::get_if<send_datagram>(&command)) {
             send(index, *datagram);
+        } else if (const auto* asked = std::get_if<start_relay>(&command)) {
+            relay(index, *asked);
+        } else if (const auto* relayed = std::get_if<answer_relay>(&command)) {
+            answer_peer(*relayed);
+        } else if (const auto* over = std::get_if<cancel_exchange>(&command)) {
+            cancel(index, over->exchange);
         } else if (const auto* probed = std::get_if<probe_server>(&command)) {
             probe(index, *probed);
         } else if (const auto* line = std::get_if<gateway_log>(&command)) {
--- a/src/tests/soak/soak_world.hpp
+++ b/src/tests/soak/soak_world.hpp
@@ -23,6 +23,21 @@
 /** End of the path of a request that crashes each server that runs it. */
 constexpr const char* fatal_path = "fatal";
 
+/** Returns the address at which a VM receives datagrams. */
+std::string vm_address(std::size_t vm);
+
+/** State of a VM's links to the backend servers. */
+enum class link_state : std::uint8_t
+{
+    up,
+    /** Nothing passes and nothing is refused. */
+    silent,
+    /** Connections are reset, new ones are refused. */
+    refused,
+    /** Open connections live on, new ones are refused. */
+    established_only,
+};
+
 /** Sizes of a run. */
 struct soak_shape
 {
@@ -46,6 +61,15 @@
 
     /** Plays requests and faults, then a time without faults. */
     void play(duration with_faults, duration without);
+    /** Plays requests only. */
+    void play_steady(duration length);
+    /** Lets what was asked come to its end. */
+    void finish();
+    void cut_links(std::size_t index, link_state state);
+    time_point now() const
+    {
+        return m_now;
+    }
 
     const trace& seen() const
     {
@@ -63,6 +87,15 @@
     }
 
 private:
+    /** An exchange that one VM relays for another. */
+    struct open_relay
+    {
+        std::size_t asker = 0;
+        std::uint64_t asker_process = 0;
+        exchange_id exchange;
+        std::size_t helper = 0;
+        std::uint64_t helper_process = 0;
+    };
     struct vm
     {
         std::unique_ptr<seeded_random> random;
@@ -71,6 +104,8 @@
         std::uint64_t process = 0;
         time_point frozen_until;
         bool store_cut = false;
+        /** Links to the backend servers. */
+        link_state links = link_state::up;
         std::uint64_t version = 0;
         std::set<backend_server_id> leaving;
         std::optional<time_point> wakeup;
@@ -126,6 +161,23 @@
     void end_exchange(std::size_t index, std::uint64_t process,
                       exchange_id exchange,
                       std::variant<backend_answer, exchange_failure> result);
+    /** Tells a process that an exchange ended, whatever its links are. */
+    void deliver_end(std::size_t index, std::uint64_t process,
+                     const exchange_ended& ended);
+    void cut_links_of_some();
+    bool passes_link(std::size_t index);
+    void fail_on_link(std::size_t index, std::uint64_t process,
+                      exchange_id exchange);
+    /** Returns whether an answer is lost on the VM's links. */
+    bool loses_answer(std::size_t index, std::uint64_t process,
+                      exchange_id exchange);
+    void relay(std::size_t index, const start_relay& command);
+    void answer_peer(const answer_relay& command);
+    void end_relay(relay_token token,
+                   std::variant<backend_answer, exchange_failure> result,
+                   backend_server_id server);
+    void cancel(std::size_t index, exchange_id exchange);
+    void end_relays_of(std::size_t index);
     void send(std::size_t from, const send_datagram& command);
     void answer(std::size_t index, const answer_to_caller& command);
 
@@ -148,6 +200,8 @@
     std::vector<soak_server> m_servers;
     std::vector<version> m_versions;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+    std::map<relay_token, open_relay> m_relays;
+    std::uint64_t m_next_relay = 0;
     std::uint64_t m_loss_per_mille = 0;
     bool m_asking = false;
     bool m_faults = false;
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -69,6 +69,7 @@
   9: list<crash_report> crashes
   10: list<crash_clearance> clearances
   11: list<server_limit_report> limits
+  12: bool accepts_relays
 }
 
 struct mirrored_item {
@@ -89,3 +90,34 @@
   7: bool store_reachable
   8: i64 at_era
 }
+
+struct relay_request {
+  1: i64 service_id
+  2: list<i64> tried
+  3: bool extra_send
+  4: i64 request_print
+  5: i64 deadline
+  6: bool repeatable
+  7: string workspace
+  8: string request_id
+  9: string method
+  10: string target
+  11: string header_lines
+  12: binary body
+}
+
+/** Either a fault or an answer; optional fields are unset if not said. */
+struct relay_result {
+  1: i64 server
+  2: optional i8 fault
+  3: i32 status
+  4: bool not_run
+  5: bool misdirected
+  6: bool leaving
+  7: string receipt
+  8: optional i64 cold_remaining
+  9: optional i64 retry_after
+  10: optional double server_limit
+  11: string header_lines
+  12: binary body
+}
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -1157,6 +1157,10 @@
 void gateway_datagram::__set_limits(const std::vector<server_limit_report> & val) {
   this->limits = val;
 }
+
+void gateway_datagram::__set_accepts_relays(const bool val) {
+  this->accepts_relays = val;
+}
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
 {
   obj.printTo(out);
@@ -1369,6 +1373,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepts_relays);
+          this->__isset.accepts_relays = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1494,6 +1506,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("accepts_relays", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->accepts_relays);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1512,6 +1528,7 @@
   swap(a.crashes, b.crashes);
   swap(a.clearances, b.clearances);
   swap(a.limits, b.limits);
+  swap(a.accepts_relays, b.accepts_relays);
   swap(a.__isset, b.__isset);
 }
 
@@ -1527,6 +1544,7 @@
   crashes = other64.crashes;
   clearances = other64.clearances;
   limits = other64.limits;
+  accepts_relays = other64.accepts_relays;
   __isset = other64.__isset;
 }
 gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other65) {
@@ -1541,6 +1559,7 @@
   crashes = other65.crashes;
   clearances = other65.clearances;
   limits = other65.limits;
+  accepts_relays = other65.accepts_relays;
   __isset = other65.__isset;
   return *this;
 }
@@ -1558,6 +1577,7 @@
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "clearances=" << to_string(clearances);
   out << ", " << "limits=" << to_string(limits);
+  out << ", " << "accepts_relays=" << to_string(accepts_relays);
   out << ")";
 }
 
@@ -1985,4 +2005,656 @@
   out << ")";
 }
 
+
+relay_request::~relay_request() noexcept {
+}
+
+
+void relay_request::__set_service_id(const int64_t val) {
+  this->service_id = val;
+}
+
+void relay_request::__set_tried(const std::vector<int64_t> & val) {
+  this->tried = val;
+}
+
+void relay_request::__set_extra_send(const bool val) {
+  this->extra_send = val;
+}
+
+void relay_request::__set_request_print(const int64_t val) {
+  this->request_print = val;
+}
+
+void relay_request::__set_deadline(const int64_t val) {
+  this->deadline = val;
+}
+
+void relay_request::__set_repeatable(const bool val) {
+  this->repeatable = val;
+}
+
+void relay_request::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void relay_request::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+
+void relay_request::__set_method(const std::string& val) {
+  this->method = val;
+}
+
+void relay_request::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void relay_request::__set_header_lines(const std::string& val) {
+  this->header_lines = val;
+}
+
+void relay_request::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const relay_request& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t relay_request::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tried.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->tried.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += iprot->readI64(this->tried[_i80]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tried = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->extra_send);
+          this->__isset.extra_send = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_print);
+          this->__isset.request_print = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadline);
+          this->__isset.deadline = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeatable);
+          this->__isset.repeatable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          this->__isset.request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->method);
+          this->__isset.method = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->header_lines);
+          this->__isset.header_lines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t relay_request::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("relay_request");
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tried.size()));
+    std::vector<int64_t> ::const_iterator _iter81;
+    for (_iter81 = this->tried.begin(); _iter81 != this->tried.end(); ++_iter81)
+    {
+      xfer += oprot->writeI64((*_iter81));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("extra_send", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->extra_send);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_print", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->request_print);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deadline", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->deadline);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("repeatable", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->repeatable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->method);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("header_lines", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->header_lines);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(relay_request &a, relay_request &b) {
+  using ::std::swap;
+  swap(a.service_id, b.service_id);
+  swap(a.tried, b.tried);
+  swap(a.extra_send, b.extra_send);
+  swap(a.request_print, b.request_print);
+  swap(a.deadline, b.deadline);
+  swap(a.repeatable, b.repeatable);
+  swap(a.workspace, b.workspace);
+  swap(a.request_id, b.request_id);
+  swap(a.method, b.method);
+  swap(a.target, b.target);
+  swap(a.header_lines, b.header_lines);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+relay_request::relay_request(const relay_request& other82) {
+  service_id = other82.service_id;
+  tried = other82.tried;
+  extra_send = other82.extra_send;
+  request_print = other82.request_print;
+  deadline = other82.deadline;
+  repeatable = other82.repeatable;
+  workspace = other82.workspace;
+  request_id = other82.request_id;
+  method = other82.method;
+  target = other82.target;
+  header_lines = other82.header_lines;
+  body = other82.body;
+  __isset = other82.__isset;
+}
+relay_request& relay_request::operator=(const relay_request& other83) {
+  service_id = other83.service_id;
+  tried = other83.tried;
+  extra_send = other83.extra_send;
+  request_print = other83.request_print;
+  deadline = other83.deadline;
+  repeatable = other83.repeatable;
+  workspace = other83.workspace;
+  request_id = other83.request_id;
+  method = other83.method;
+  target = other83.target;
+  header_lines = other83.header_lines;
+  body = other83.body;
+  __isset = other83.__isset;
+  return *this;
+}
+void relay_request::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "relay_request(";
+  out << "service_id=" << to_string(service_id);
+  out << ", " << "tried=" << to_string(tried);
+  out << ", " << "extra_send=" << to_string(extra_send);
+  out << ", " << "request_print=" << to_string(request_print);
+  out << ", " << "deadline=" << to_string(deadline);
+  out << ", " << "repeatable=" << to_string(repeatable);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ", " << "method=" << to_string(method);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "header_lines=" << to_string(header_lines);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+relay_result::~relay_result() noexcept {
+}
+
+
+void relay_result::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void relay_result::__set_fault(const int8_t val) {
+  this->fault = val;
+__isset.fault = true;
+}
+
+void relay_result::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void relay_result::__set_not_run(const bool val) {
+  this->not_run = val;
+}
+
+void relay_result::__set_misdirected(const bool val) {
+  this->misdirected = val;
+}
+
+void relay_result::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void relay_result::__set_receipt(const std::string& val) {
+  this->receipt = val;
+}
+
+void relay_result::__set_cold_remaining(const int64_t val) {
+  this->cold_remaining = val;
+__isset.cold_remaining = true;
+}
+
+void relay_result::__set_retry_after(const int64_t val) {
+  this->retry_after = val;
+__isset.retry_after = true;
+}
+
+void relay_result::__set_server_limit(const double val) {
+  this->server_limit = val;
+__isset.server_limit = true;
+}
+
+void relay_result::__set_header_lines(const std::string& val) {
+  this->header_lines = val;
+}
+
+void relay_result::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const relay_result& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t relay_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->fault);
+          this->__isset.fault = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->not_run);
+          this->__isset.not_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->misdirected);
+          this->__isset.misdirected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->receipt);
+          this->__isset.receipt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cold_remaining);
+          this->__isset.cold_remaining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after);
+          this->__isset.retry_after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->server_limit);
+          this->__isset.server_limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->header_lines);
+          this->__isset.header_lines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t relay_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("relay_result");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.fault) {
+    xfer += oprot->writeFieldBegin("fault", ::apache::thrift::protocol::T_BYTE, 2);
+    xfer += oprot->writeByte(this->fault);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("not_run", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->not_run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("misdirected", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->misdirected);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receipt", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->receipt);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.cold_remaining) {
+    xfer += oprot->writeFieldBegin("cold_remaining", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->cold_remaining);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.retry_after) {
+    xfer += oprot->writeFieldBegin("retry_after", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->retry_after);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.server_limit) {
+    xfer += oprot->writeFieldBegin("server_limit", ::apache::thrift::protocol::T_DOUBLE, 10);
+    xfer += oprot->writeDouble(this->server_limit);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("header_lines", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->header_lines);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(relay_result &a, relay_result &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.fault, b.fault);
+  swap(a.status, b.status);
+  swap(a.not_run, b.not_run);
+  swap(a.misdirected, b.misdirected);
+  swap(a.leaving, b.leaving);
+  swap(a.receipt, b.receipt);
+  swap(a.cold_remaining, b.cold_remaining);
+  swap(a.retry_after, b.retry_after);
+  swap(a.server_limit, b.server_limit);
+  swap(a.header_lines, b.header_lines);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+relay_result::relay_result(const relay_result& other84) {
+  server = other84.server;
+  fault = other84.fault;
+  status = other84.status;
+  not_run = other84.not_run;
+  misdirected = other84.misdirected;
+  leaving = other84.leaving;
+  receipt = other84.receipt;
+  cold_remaining = other84.cold_remaining;
+  retry_after = other84.retry_after;
+  server_limit = other84.server_limit;
+  header_lines = other84.header_lines;
+  body = other84.body;
+  __isset = other84.__isset;
+}
+relay_result& relay_result::operator=(const relay_result& other85) {
+  server = other85.server;
+  fault = other85.fault;
+  status = other85.status;
+  not_run = other85.not_run;
+  misdirected = other85.misdirected;
+  leaving = other85.leaving;
+  receipt = other85.receipt;
+  cold_remaining = other85.cold_remaining;
+  retry_after = other85.retry_after;
+  server_limit = other85.server_limit;
+  header_lines = other85.header_lines;
+  body = other85.body;
+  __isset = other85.__isset;
+  return *this;
+}
+void relay_result::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "relay_result(";
+  out << "server=" << to_string(server);
+  out << ", " << "fault="; (__isset.fault ? (out << to_string(fault)) : (out << "<null>"));
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "not_run=" << to_string(not_run);
+  out << ", " << "misdirected=" << to_string(misdirected);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "receipt=" << to_string(receipt);
+  out << ", " << "cold_remaining="; (__isset.cold_remaining ? (out << to_string(cold_remaining)) : (out << "<null>"));
+  out << ", " << "retry_after="; (__isset.retry_after ? (out << to_string(retry_after)) : (out << "<null>"));
+  out << ", " << "server_limit="; (__isset.server_limit ? (out << to_string(server_limit)) : (out << "<null>"));
+  out << ", " << "header_lines=" << to_string(header_lines);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -43,6 +43,10 @@
 
 class mirror_update;
 
+class relay_request;
+
+class relay_result;
+
 typedef struct _member_hint__isset {
   _member_hint__isset() : address(false), age(false) {}
   bool address :1;
@@ -517,7 +521,7 @@
 std::ostream& operator<<(std::ostream& out, const server_limit_report& obj);
 
 typedef struct _gateway_datagram__isset {
-  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false) {}
+  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false), accepts_relays(false) {}
   bool process :1;
   bool fleet_size :1;
   bool settled :1;
@@ -529,6 +533,7 @@
   bool crashes :1;
   bool clearances :1;
   bool limits :1;
+  bool accepts_relays :1;
 } _gateway_datagram__isset;
 
 class gateway_datagram : public virtual ::apache::thrift::TBase {
@@ -539,7 +544,8 @@
   gateway_datagram() noexcept
                    : process(0),
                      fleet_size(0),
-                     settled(0) {
+                     settled(0),
+                     accepts_relays(0) {
   }
 
   virtual ~gateway_datagram() noexcept;
@@ -554,6 +560,7 @@
   std::vector<crash_report>  crashes;
   std::vector<crash_clearance>  clearances;
   std::vector<server_limit_report>  limits;
+  bool accepts_relays;
 
   _gateway_datagram__isset __isset;
 
@@ -579,6 +586,8 @@
 
   void __set_limits(const std::vector<server_limit_report> & val);
 
+  void __set_accepts_relays(const bool val);
+
   bool operator == (const gateway_datagram & rhs) const
   {
     if (!(process == rhs.process))
@@ -603,6 +612,8 @@
       return false;
     if (!(limits == rhs.limits))
       return false;
+    if (!(accepts_relays == rhs.accepts_relays))
+      return false;
     return true;
   }
   bool operator != (const gateway_datagram &rhs) const {
@@ -783,6 +794,256 @@
 
 std::ostream& operator<<(std::ostream& out, const mirror_update& obj);
 
+typedef struct _relay_request__isset {
+  _relay_request__isset() : service_id(false), tried(false), extra_send(false), request_print(false), deadline(false), repeatable(false), workspace(false), request_id(false), method(false), target(false), header_lines(false), body(false) {}
+  bool service_id :1;
+  bool tried :1;
+  bool extra_send :1;
+  bool request_print :1;
+  bool deadline :1;
+  bool repeatable :1;
+  bool workspace :1;
+  bool request_id :1;
+  bool method :1;
+  bool target :1;
+  bool header_lines :1;
+  bool body :1;
+} _relay_request__isset;
+
+class relay_request : public virtual ::apache::thrift::TBase {
+ public:
+
+  relay_request(const relay_request&);
+  relay_request& operator=(const relay_request&);
+  relay_request() noexcept
+                : service_id(0),
+                  extra_send(0),
+                  request_print(0),
+                  deadline(0),
+                  repeatable(0),
+                  workspace(),
+                  request_id(),
+                  method(),
+                  target(),
+                  header_lines(),
+                  body() {
+  }
+
+  virtual ~relay_request() noexcept;
+  int64_t service_id;
+  std::vector<int64_t>  tried;
+  bool extra_send;
+  int64_t request_print;
+  int64_t deadline;
+  bool repeatable;
+  std::string workspace;
+  std::string request_id;
+  std::string method;
+  std::string target;
+  std::string header_lines;
+  std::string body;
+
+  _relay_request__isset __isset;
+
+  void __set_service_id(const int64_t val);
+
+  void __set_tried(const std::vector<int64_t> & val);
+
+  void __set_extra_send(const bool val);
+
+  void __set_request_print(const int64_t val);
+
+  void __set_deadline(const int64_t val);
+
+  void __set_repeatable(const bool val);
+
+  void __set_workspace(const std::string& val);
+
+  void __set_request_id(const std::string& val);
+
+  void __set_method(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_header_lines(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const relay_request & rhs) const
+  {
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(tried == rhs.tried))
+      return false;
+    if (!(extra_send == rhs.extra_send))
+      return false;
+    if (!(request_print == rhs.request_print))
+      return false;
+    if (!(deadline == rhs.deadline))
+      return false;
+    if (!(repeatable == rhs.repeatable))
+      return false;
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(method == rhs.method))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(header_lines == rhs.header_lines))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const relay_request &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const relay_request & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(relay_request &a, relay_request &b);
+
+std::ostream& operator<<(std::ostream& out, const relay_request& obj);
+
+typedef struct _relay_result__isset {
+  _relay_result__isset() : server(false), fault(false), status(false), not_run(false), misdirected(false), leaving(false), receipt(false), cold_remaining(false), retry_after(false), server_limit(false), header_lines(false), body(false) {}
+  bool server :1;
+  bool fault :1;
+  bool status :1;
+  bool not_run :1;
+  bool misdirected :1;
+  bool leaving :1;
+  bool receipt :1;
+  bool cold_remaining :1;
+  bool retry_after :1;
+  bool server_limit :1;
+  bool header_lines :1;
+  bool body :1;
+} _relay_result__isset;
+
+/**
+ * Either a fault or an answer; optional fields are unset if not said.
+ */
+class relay_result : public virtual ::apache::thrift::TBase {
+ public:
+
+  relay_result(const relay_result&);
+  relay_result& operator=(const relay_result&);
+  relay_result() noexcept
+               : server(0),
+                 fault(0),
+                 status(0),
+                 not_run(0),
+                 misdirected(0),
+                 leaving(0),
+                 receipt(),
+                 cold_remaining(0),
+                 retry_after(0),
+                 server_limit(0),
+                 header_lines(),
+                 body() {
+  }
+
+  virtual ~relay_result() noexcept;
+  int64_t server;
+  int8_t fault;
+  int32_t status;
+  bool not_run;
+  bool misdirected;
+  bool leaving;
+  std::string receipt;
+  int64_t cold_remaining;
+  int64_t retry_after;
+  double server_limit;
+  std::string header_lines;
+  std::string body;
+
+  _relay_result__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_fault(const int8_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_not_run(const bool val);
+
+  void __set_misdirected(const bool val);
+
+  void __set_leaving(const bool val);
+
+  void __set_receipt(const std::string& val);
+
+  void __set_cold_remaining(const int64_t val);
+
+  void __set_retry_after(const int64_t val);
+
+  void __set_server_limit(const double val);
+
+  void __set_header_lines(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const relay_result & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (__isset.fault != rhs.__isset.fault)
+      return false;
+    else if (__isset.fault && !(fault == rhs.fault))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(not_run == rhs.not_run))
+      return false;
+    if (!(misdirected == rhs.misdirected))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(receipt == rhs.receipt))
+      return false;
+    if (__isset.cold_remaining != rhs.__isset.cold_remaining)
+      return false;
+    else if (__isset.cold_remaining && !(cold_remaining == rhs.cold_remaining))
+      return false;
+    if (__isset.retry_after != rhs.__isset.retry_after)
+      return false;
+    else if (__isset.retry_after && !(retry_after == rhs.retry_after))
+      return false;
+    if (__isset.server_limit != rhs.__isset.server_limit)
+      return false;
+    else if (__isset.server_limit && !(server_limit == rhs.server_limit))
+      return false;
+    if (!(header_lines == rhs.header_lines))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const relay_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const relay_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(relay_result &a, relay_result &b);
+
+std::ostream& operator<<(std::ostream& out, const relay_result& obj);
+
 }} // namespace
 
 #endif
