--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -25,8 +25,6 @@
 constexpr duration hedge_retry_interval = 12ms;
 /** Largest number of sends of one call, including sends proved not run. */
 constexpr std::size_t max_attempts = 4;
-/** Largest number of sends that this VM relays for peers at a time. */
-constexpr std::size_t max_relayed = 256;
 
 void log(log_code code, std::string text, gateway_commands& out)
 {
@@ -41,13 +39,14 @@
     : m_members(settings.member, random, now), m_rates(m_members),
       m_directory(m_servers), m_server_limits(m_servers, m_members),
       m_suspicions(m_servers), m_choice(m_servers, m_server_limits, random),
-      m_reachability(m_servers, random), m_relay_peers(m_members, random),
+      m_relay_peers(m_members, random),
       m_sender(settings, m_servers, m_choice, m_server_limits, m_suspicions,
                m_relay_peers),
       m_crash_watch(m_servers, m_quarantine),
       m_admission(m_rates, m_waiting, m_quarantine, m_choice, random),
       m_peers(m_members, incarnation(random.next() | 1U), m_rates,
-              m_server_limits, m_quarantine, m_relay_peers, now)
+              m_server_limits, m_quarantine, m_relay_peers, now),
+      m_relays(m_servers, random, m_sender, m_waiting, m_quarantine, m_peers)
 {
 }
 
@@ -67,8 +66,9 @@
     }
     m_sender.cancel_overdue(now, out);
     m_crash_watch.tick(now, out);
-    m_reachability.tick(now, out);
-    links_changed(now, out);
+    if (m_relays.tick(now, out)) {
+        serve_all_waiting(now, out);
+    }
     while (const auto service = m_reopenings.pop_due(now)) {
         serve_waiting(*service, now, out);
     }
@@ -94,7 +94,7 @@
     std::optional<time_point> next = m_due.next_due();
     for (const auto& other :
          {m_sender.next_overdue(), m_crash_watch.next_wakeup(),
-          m_reachability.next_wakeup(), m_reopenings.next_due()}) {
+          m_relays.next_wakeup(), m_reopenings.next_due()}) {
         if (other && (!next || *other < *next)) {
             next = other;
         }
@@ -257,7 +257,12 @@
     }
     m_waiting.record_completion(row->service, now);
     if (row->relayed_by.empty()) {
-        direct_exchange_ended(*row, ended, now, out);
+        m_relays.exchange_ended(*row, ended, now, out);
+    }
+    // While the links are lost, a refused connection says nothing of its
+    // server.
+    if (row->relayed_by.empty() && !m_relays.links_lost()) {
+        m_crash_watch.exchange_ended(*row, ended, now, out);
     }
     open_request* request = row->abandoned ? nullptr : find(row->call.request);
     if (request != nullptr) {
@@ -270,81 +275,34 @@
     serve_waiting(row->service, now, out);
 }
 
-// While the links are lost, a refused connection says nothing of its server.
-void gateway::direct_exchange_ended(const exchange_row& row,
-                                    const exchange_ended& ended, time_point now,
-                                    gateway_commands& out)
-{
-    m_reachability.exchange_ended(row.server, ended, now);
-    if (!m_reachability.lost()) {
-        m_crash_watch.exchange_ended(row, ended, now, out);
-    }
-    if (row.relayed_for.is_set()) {
-        out.push_back(answer_relay{row.relayed_for,
-                                   {ended.exchange, ended.result, row.server}});
-    }
-}
-
 void gateway::on(const server_probed& probed, time_point now,
                  gateway_commands& out)
 {
-    m_reachability.server_probed(probed, now, out);
-    if (!m_reachability.lost()) {
+    const bool changed = m_relays.server_probed(probed, now, out);
+    if (!m_relays.links_lost()) {
         m_crash_watch.server_probed(probed, now, out);
     }
-    links_changed(now, out);
-}
-
-void gateway::links_changed(time_point now, gateway_commands& out)
-{
-    if (m_reachability.lost() == m_links_lost) {
-        return;
+    if (changed) {
+        serve_all_waiting(now, out);
     }
-    m_links_lost = m_reachability.lost();
-    m_peers.accept_relays(!m_links_lost && !m_leaving);
-    m_peers.broadcast({}, now, out);
-    serve_all_waiting(now, out);
 }
 
 void gateway::on(const vm_leaving& /*leaving*/, time_point now,
                  gateway_commands& out)
 {
-    m_leaving = true;
-    m_peers.accept_relays(false);
-    m_peers.broadcast({}, now, out);
+    m_relays.leaving(now, out);
 }
 
 void gateway::on(const relay_requested& asked, time_point now,
                  gateway_commands& out)
 {
-    const char* why = nullptr;
-    if (m_leaving) {
-        why = "leaving";
-    } else if (m_links_lost) {
-        why = "no_links";
-    } else if (m_sender.relayed_count() >= max_relayed ||
-               m_waiting.has_waiting(asked.request.service)) {
-        why = "own_callers_wait";
-    } else if (m_quarantine.refused_for(asked.request.print, now)) {
-        why = "crashes_servers";
-    } else if (!m_sender.send_for_peer(asked, now, out)) {
-        why = "no_server";
-    }
-    if (why == nullptr) {
-        return;
-    }
-    log(log_code::relay_declined,
-        "request=" + asked.request.outbound->id + " service=" +
-            std::to_string(asked.request.service.value()) + " why=" + why,
-        out);
-    out.push_back(answer_relay{
-        asked.token, {{}, exchange_failure{exchange_fault::declined}, {}}});
+    m_relays.requested(asked, now, out);
 }
 
 void gateway::on(const relay_withdrawn& withdrawn, time_point now,
                  gateway_commands& out)
 {
-    m_sender.withdraw(withdrawn.token, now, out);
+    m_relays.withdrawn(withdrawn.token, now, out);
 }
 
 void gateway::on(const catalogue_read& read, time_point now,
@@ -442,8 +400,8 @@
         return;
     }
     const send_outcome outcome =
-        m_links_lost ? m_sender.relay(request, call, purpose, now, out)
-                     : m_sender.send(request, call, purpose, now, out);
+        m_relays.links_lost() ? m_sender.relay(request, call, purpose, now, out)
+                              : m_sender.send(request, call, purpose, now, out);
     switch (outcome) {
     case send_outcome::sent:
         return;
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -8,9 +8,9 @@
 #include "core/gateway_peers.hpp"
 #include "core/gateway_settings.hpp"
 #include "core/random_source.hpp"
+#include "core/relay_service.hpp"
 #include "systems/queries/stragglers.hpp"
 #include "systems/rates/token_waiters.hpp"
-#include "systems/servers/server_reachability.hpp"
 #include "systems/servers/server_suspicions.hpp"
 #include "tables/due_queue.hpp"
 
@@ -66,7 +66,7 @@
     /** Returns whether requests can reach servers, through peers if need be. */
     bool reaches_servers(time_point now) const
     {
-        return !m_links_lost || m_relay_peers.available(now);
+        return !m_relays.links_lost() || m_relay_peers.available(now);
     }
 
 private:
@@ -91,11 +91,6 @@
     void on(const vm_leaving& leaving, time_point now, gateway_commands& out);
     void on(const relay_withdrawn& withdrawn, time_point now,
             gateway_commands& out);
-    void direct_exchange_ended(const exchange_row& row,
-                               const exchange_ended& ended, time_point now,
-                               gateway_commands& out);
-    /** Applies the loss or the return of the links to the servers. */
-    void links_changed(time_point now, gateway_commands& out);
     void on(const datagram_received& datagram, time_point now,
             gateway_commands& out);
     void update_fleet_size(time_point now, gateway_commands& out);
@@ -154,14 +149,12 @@
     waiting_calls m_waiting;
     crash_quarantine m_quarantine;
 
-    server_reachability m_reachability;
     relay_peers m_relay_peers;
-    bool m_links_lost = false;
-    bool m_leaving = false;
     call_sender m_sender;
     crash_watch m_crash_watch;
     gateway_admission m_admission;
     gateway_peers m_peers;
+    relay_service m_relays;
     std::uint32_t m_fleet_size = 0;
     std::shared_ptr<const catalogue> m_settings;
     open_requests m_requests;
--- a/src/tests/gateway_peers_test.cpp
+++ b/src/tests/gateway_peers_test.cpp
@@ -39,8 +39,9 @@
     peer_vm(std::size_t self, random_source& random, time_point now)
         : members({address(self), {address(0), address(1), address(2)}}, random,
                   now),
-          rates(members), limits(servers, members),
-          peers(members, incarnation(self + 1), rates, limits, quarantine, now)
+          rates(members), limits(servers, members), relays(members, random),
+          peers(members, incarnation(self + 1), rates, limits, quarantine,
+                relays, now)
     {
         rates.catalogue_changed(rate_limits(), now);
     }
@@ -50,6 +51,7 @@
     server_table servers;
     server_limits limits;
     crash_quarantine quarantine;
+    relay_peers relays;
     gateway_peers peers;
 };
 
