A VM that is behind its peers takes their configuration; store_source apart

Callers of a VM that starts while the store holds an older copy would get the copy's configuration until the operator writes again: nothing that the VM keeps is newer. Datagrams name the version in force (one Thrift field); a VM that stays behind for 0.3 s asks that peer for its configuration, and one that starts is not ready before, for 4 s at most. The same helps a VM that the store turns away. The gateway takes only a greater version, as before.

Ruled out: taking evacuations and servers from peers as well (they have no version; what the operator and the servers wrote is written again).

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -89,6 +89,16 @@
     return out;
 }
 
+std::uint64_t gateway::settings_version() const
+{
+    return m_settings == nullptr ? 0 : m_settings->version;
+}
+
+std::optional<std::string> gateway::next_configuration_source(time_point now)
+{
+    return m_peer_configuration.next_source(settings_version(), now);
+}
+
 std::optional<time_point> gateway::next_wakeup() const
 {
     std::optional<time_point> next = m_due.next_due();
@@ -131,8 +141,6 @@
 void gateway::refuse(const request_received& asked,
                      const refused_answer& answer, gateway_commands& out)
 {
-    const std::uint64_t version =
-        m_settings == nullptr ? 0 : m_settings->version;
     const workspace_entry* workspace =
         m_settings == nullptr ? nullptr : m_settings->find_workspace(asked.key);
     log(log_code::request_refused,
@@ -143,7 +151,8 @@
             (workspace == nullptr ? "0" : std::to_string(workspace->rate)) +
             " retry_after_ms=" +
             milliseconds_text(answer.retry_after.value_or(duration(0))) +
-            " revision=" + std::to_string(version) + " fingerprint=" +
+            " revision=" + std::to_string(settings_version()) +
+            " fingerprint=" +
             std::to_string(fingerprint_of(workspace == nullptr ? workspace_id()
                                                                : workspace->id,
                                           asked)
@@ -312,6 +321,7 @@
         return;
     }
     m_settings = read.read;
+    m_peers.settings_changed(m_settings->version);
     m_admission.catalogue_changed(m_settings);
     m_rates.catalogue_changed(m_settings, now);
     m_sender.catalogue_changed(m_settings);
@@ -360,6 +370,9 @@
                  gateway_commands& out)
 {
     m_peers.received(datagram, now, out);
+    m_peer_configuration.heard(datagram.from,
+                               datagram.datagram.settings_version,
+                               settings_version(), now);
     m_suspicions.apply_remote(datagram.from, datagram.datagram.suspicions, now,
                               out);
     m_server_limits.apply_remote(datagram.from, datagram.datagram.limits, now,
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -12,6 +12,7 @@
 #include "systems/queries/stragglers.hpp"
 #include "systems/rates/token_waiters.hpp"
 #include "systems/servers/server_suspicions.hpp"
+#include "systems/store/peer_configuration.hpp"
 #include "tables/due_queue.hpp"
 
 namespace cranberrywood {
@@ -44,6 +45,18 @@
     {
         return m_settings;
     }
+    /** Returns the version of the current configuration; 0 before the first. */
+    std::uint64_t settings_version() const;
+    /**
+     * Returns the peer to ask for its configuration now, as it has a greater
+     * version than this VM reads; each call counts as an attempt.
+     */
+    std::optional<std::string> next_configuration_source(time_point now);
+    /** Returns whether a peer has named a greater version. */
+    bool has_older_configuration() const
+    {
+        return m_peer_configuration.is_behind(settings_version());
+    }
     /** Returns the number of requests that are not answered yet. */
     std::size_t open_request_count() const
     {
@@ -157,6 +170,7 @@
     relay_service m_relays;
     std::uint32_t m_fleet_size = 0;
     std::shared_ptr<const catalogue> m_settings;
+    peer_configuration m_peer_configuration;
     open_requests m_requests;
     due_queue<caller_token> m_due;
     /** When servers that wanted no requests take them again. */
--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -91,6 +91,8 @@
     bool settled = false;
     /** The sender relays exchanges for VMs without links to servers. */
     bool accepts_relays = false;
+    /** Version of the configuration that the sender has in force; 0: none. */
+    std::uint64_t settings_version = 0;
     std::vector<member_hint> members;
     std::vector<token_ask> asks;
     std::vector<token_grant> grants;
--- a/src/core/gateway_peers.cpp
+++ b/src/core/gateway_peers.cpp
@@ -59,6 +59,7 @@
 {
     datagram.process = m_process;
     datagram.accepts_relays = m_accepts_relays;
+    datagram.settings_version = m_settings_version;
     m_members.fill(datagram, now);
 }
 
--- a/src/core/gateway_peers.hpp
+++ b/src/core/gateway_peers.hpp
@@ -39,6 +39,12 @@
         m_accepts_relays = accepted;
     }
 
+    /** Sets the version of the configuration that peers are told. */
+    void settings_changed(std::uint64_t version)
+    {
+        m_settings_version = version;
+    }
+
 private:
     void stamp(gateway_datagram& datagram, time_point now) const;
     gateway_datagram heartbeat(time_point now);
@@ -50,6 +56,7 @@
     crash_quarantine& m_quarantine;
     relay_peers& m_relay_peers;
     bool m_accepts_relays = true;
+    std::uint64_t m_settings_version = 0;
     member_directory& m_members;
     time_point m_next_heartbeat;
     time_point m_next_asks;
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "loop/gateway_process.hpp"
 
 #include "core/request_log.hpp"
+#include "wire/gateway_codec.hpp"
 #include "wire/relay_codec.hpp"
 
 #include <csignal>
@@ -13,9 +14,6 @@
 using namespace std::chrono_literals;
 using error_code = boost::system::error_code;
 
-/** Pauses between two watches of one area of the store. */
-constexpr duration settings_pause = 50ms;
-constexpr duration servers_pause = 1s;
 /** Interval at which connections are looked at for idleness. */
 constexpr duration sweep_interval = 500ms;
 /** Interval while the source of the store's news is not chosen. */
@@ -28,9 +26,6 @@
 constexpr duration longest_unready = 4s;
 constexpr const char* ready_path = "/ready";
 
-/** Contact with the store after which lapsed entries have returned. */
-constexpr duration steady_contact = 2500ms;
-
 /** The balancer's address has nothing to follow. */
 mirror_update no_updates(incarnation /*process*/, std::uint64_t /*place*/)
 {
@@ -52,12 +47,14 @@
       m_io(1), m_loop{m_io, m_clock}, m_started(m_clock.now()),
       m_random(process_seed()),
       m_gateway(m_file.decisions, m_random, m_clock.now()),
-      m_mirror(incarnation(m_random.next() | 1U)),
-      m_readers(m_gateway.members()), m_front(m_loop, *this),
-      m_ready_front(m_loop, no_updates),
+      m_store(
+          m_loop, adapter, log, {m_file.store, m_file.control.port}, m_random,
+          m_gateway, [this](const gateway_event& event) { handle(event); },
+          [this](std::uint64_t place) { m_control_front.news(place); }),
+      m_front(m_loop, *this), m_ready_front(m_loop, no_updates),
       m_control_front(m_loop,
                       [this](incarnation process, std::uint64_t place) {
-                          return update_for_followers(process, place);
+                          return m_store.update_for_followers(process, place);
                       }),
       m_links(m_loop, *this),
       m_relay_links(m_loop, m_file.control.port,
@@ -70,18 +67,6 @@
           [this](const std::string& why) {
               m_log.write(log_code::peer_frame_refused, "why=\"" + why + '"');
           }),
-      m_settings_reader(m_loop, adapter, m_file.store,
-                        store_area::operator_settings, settings_pause, m_random,
-                        *this),
-      m_servers_reader(m_loop, adapter, m_file.store,
-                       store_area::backend_servers, servers_pause, m_random,
-                       *this),
-      m_mirror_reader(
-          m_loop,
-          [this](const mirror_update& update) { followed_update(update); },
-          [this](const std::string& why) {
-              reader_failed(reader_fault::unreachable, why);
-          }),
       m_timer(m_io), m_sweep_timer(m_io), m_signals(m_io)
 {
 }
@@ -95,7 +80,7 @@
                 "data_centre=" + m_file.data_centre +
                     " callers=" + to_string(m_file.callers));
     wait_for_signals();
-    choose_store_source();
+    m_store.review();
     sweep();
     m_io.run();
     return 0;
@@ -108,6 +93,10 @@
         constexpr unsigned unavailable = 503;
         return http_answer_text{ready() ? ok : unavailable, "", ""};
     });
+    m_control_front.serve(configuration_path, [this] {
+        constexpr unsigned ok = 200;
+        return http_answer_text{ok, "", encode(m_store.own_configuration())};
+    });
     m_control_front.serve_calls(
         relay_path,
         [this](caller_token token, const std::string& body) {
@@ -204,149 +193,6 @@
     handle(cranberrywood::server_probed{server, result});
 }
 
-void gateway_process::store_read(store_area area, const followed_page& page)
-{
-    contact_changed(true, "");
-    if (page.whole) {
-        m_log.write(log_code::store_listed,
-                    std::string("area=") + name_of(area) +
-                        " position=" + to_string(page.at) +
-                        " items=" + std::to_string(page.changes.size()));
-    }
-    apply_page(area, page);
-    if (m_mirror.apply(area, page)) {
-        m_control_front.news(m_mirror.place());
-    }
-}
-
-void gateway_process::apply_page(store_area area, const followed_page& page)
-{
-    const view_update update = m_view.apply(area, page);
-    if (update.restored) {
-        m_log.write(log_code::store_restored,
-                    std::string("area=") + name_of(area) +
-                        " before=" + to_string(update.restored->before) +
-                        " after=" + to_string(update.restored->after) +
-                        " missing=" + std::to_string(update.restored->missing) +
-                        " revision_in_force=" + std::to_string(m_version));
-    }
-    for (const ignored_change& change : update.ignored) {
-        m_log.write(log_code::store_change_ignored,
-                    "key=" + change.key + " why=" + name_of(change.why) +
-                        " position=" + to_string(change.position) +
-                        " known=" + to_string(change.known) + " details=\"" +
-                        change.details + '"');
-    }
-    for (const gateway_event& event : update.events) {
-        handle(event);
-    }
-    settings_changed();
-}
-
-void gateway_process::store_failed(store_area /*area*/, const std::string& why)
-{
-    contact_changed(false, why);
-    m_readers.store_failed(m_clock.now());
-}
-
-void gateway_process::contact_changed(bool reachable, const std::string& why)
-{
-    if (reachable == m_store_contact) {
-        return;
-    }
-    m_store_contact = reachable;
-    m_contact_since = m_clock.now();
-    if (reachable) {
-        m_log.write(log_code::configuration_answered,
-                    "through=" + (m_followed.empty() ? "store" : m_followed));
-    } else {
-        m_log.write(log_code::configuration_unavailable, "why=\"" + why + '"');
-    }
-    handle(store_reachability_changed{reachable});
-}
-
-void gateway_process::choose_store_source()
-{
-    if (m_readers.must_wait(m_clock.now())) {
-        return;
-    }
-    const auto source = m_readers.source(m_clock.now());
-    const std::string followed = source.value_or("");
-    if (followed == m_followed && (source || m_reading_store)) {
-        return;
-    }
-    m_followed = followed;
-    m_log.write(log_code::store_source_changed,
-                "source=" + (source ? followed : "store"));
-    if (!source) {
-        m_mirror_reader.stop();
-        m_settings_reader.start();
-        m_servers_reader.start();
-        m_reading_store = true;
-        return;
-    }
-    m_settings_reader.stop();
-    m_servers_reader.stop();
-    m_reading_store = false;
-    m_mirror_reader.follow(
-        {followed.substr(0, followed.rfind(':')), m_file.control.port});
-}
-
-void gateway_process::followed_update(const mirror_update& update)
-{
-    if (!update.store_reachable) {
-        reader_failed(reader_fault::store_unreachable,
-                      "the reader has lost the store");
-        return;
-    }
-    if (m_view.era().is_set() && !update.at.era.is_set()) {
-        // A program that knows no eras cannot say which items are newer.
-        reader_failed(reader_fault::store_unreachable,
-                      "the reader names no era");
-        return;
-    }
-    contact_changed(update.store_steady, "the reader was out of contact");
-    for (const store_area area :
-         {store_area::operator_settings, store_area::backend_servers}) {
-        followed_page page;
-        page.whole = update.whole;
-        page.at = update.at;
-        for (const mirrored_item& item : update.items) {
-            if (m_adapter.area_of(item.key) == area) {
-                page.changes.push_back(m_adapter.read_passed_on(
-                    item.key, item.position, item.removed, item.bytes));
-            }
-        }
-        apply_page(area, page);
-    }
-}
-
-void gateway_process::reader_failed(reader_fault fault, const std::string& why)
-{
-    m_log.write(log_code::store_reader_failed,
-                "reader=" + m_followed + " why=\"" + why + '"');
-    m_readers.failed(fault, m_clock.now());
-    contact_changed(false, why);
-    m_mirror_reader.stop();
-    m_followed.clear();
-    choose_store_source();
-}
-
-mirror_update gateway_process::update_for_followers(incarnation process,
-                                                    std::uint64_t place) const
-{
-    mirror_update update = m_mirror.after(process, place);
-    const duration contact = m_clock.now() - m_contact_since;
-    update.store_reachable =
-        m_reading_store && m_store_contact && m_mirror.complete();
-    update.store_steady = update.store_reachable && contact >= steady_contact;
-    if (update.store_reachable) {
-        update.at = std::min(m_settings_reader.follower().position(),
-                             m_servers_reader.follower().position());
-    }
-    return update;
-}
-
 void gateway_process::settings_changed()
 {
     const auto& settings = m_gateway.settings();
@@ -367,6 +213,9 @@
 void gateway_process::handle(const gateway_event& event)
 {
     carry_out(m_gateway.handle(event, m_clock.now()));
+    if (std::holds_alternative<catalogue_read>(event)) {
+        settings_changed();
+    }
     plan_wakeup();
 }
 
@@ -443,7 +292,7 @@
     m_front.sweep(now);
     m_ready_front.sweep(now);
     m_control_front.sweep(now);
-    choose_store_source();
+    m_store.review();
     m_links.sweep(now);
     m_relay_links.sweep(now);
     m_log.report_dropped();
@@ -473,7 +322,7 @@
 
 duration gateway_process::next_sweep() const
 {
-    if (!m_reading_store && m_followed.empty()) {
+    if (m_store.undecided()) {
         return undecided_interval;
     }
     return m_stopping_since ? sweep_interval / 5 : sweep_interval;
@@ -523,8 +372,11 @@
     const time_point now = m_clock.now();
     const bool knows_fleet =
         m_gateway.members().settled(now) || now - m_started >= longest_unready;
-    return !m_stopping_since && knows_fleet && m_gateway.reaches_servers(now) &&
-           m_gateway.settings() != nullptr && m_gateway.server_count() > 0;
+    const bool knows_newest = !m_gateway.has_older_configuration() ||
+                              now - m_started >= longest_unready;
+    return !m_stopping_since && knows_fleet && knows_newest &&
+           m_gateway.reaches_servers(now) && m_gateway.settings() != nullptr &&
+           m_gateway.server_count() > 0;
 }
 
 } // namespace cranberrywood
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -9,13 +9,9 @@
 #include "loop/event_log.hpp"
 #include "loop/gateway_file.hpp"
 #include "loop/loop_lag.hpp"
-#include "loop/mirror_reader.hpp"
 #include "loop/peer_socket.hpp"
 #include "loop/relay_links.hpp"
-#include "loop/store_reader.hpp"
-#include "systems/store/store_mirror.hpp"
-#include "systems/store/store_readers.hpp"
-#include "systems/store/store_view.hpp"
+#include "loop/store_source.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -26,9 +22,7 @@
  * One VM's process: joins the gateway's decisions with callers, backend
  * servers and the store on one event loop.
  */
-class gateway_process : public request_handler,
-                        public exchange_handler,
-                        public store_listener
+class gateway_process : public request_handler, public exchange_handler
 {
 public:
     gateway_process(gateway_file file, const platform_adapter& adapter,
@@ -50,9 +44,6 @@
     void exchange_failed(exchange_id exchange, exchange_fault fault) override;
     void server_probed(backend_server_id server, probe_result result) override;
 
-    void store_read(store_area area, const followed_page& page) override;
-    void store_failed(store_area area, const std::string& why) override;
-
 private:
     bool listen();
     void relay_asked(caller_token token, const std::string& body);
@@ -64,16 +55,7 @@
     void wait_for_signals();
     void begin_stop();
     bool ready() const;
-    /** Applies changes of the store, from itself or from another VM. */
-    void apply_page(store_area area, const followed_page& page);
     void settings_changed();
-    /** Reads the store, or follows a VM that does. */
-    void choose_store_source();
-    void followed_update(const mirror_update& update);
-    void reader_failed(reader_fault fault, const std::string& why);
-    mirror_update update_for_followers(incarnation process,
-                                       std::uint64_t place) const;
-    void contact_changed(bool reachable, const std::string& why);
 
     gateway_file m_file;
     const platform_adapter& m_adapter;
@@ -84,20 +66,13 @@
     time_point m_started;
     seeded_random m_random;
     gateway m_gateway;
-    store_view m_view;
-    store_mirror m_mirror;
-    store_readers m_readers;
+    store_source m_store;
     caller_front m_front;
     control_front m_ready_front;
     control_front m_control_front;
     backend_links m_links;
     relay_links m_relay_links;
     peer_socket m_peers;
-    store_reader m_settings_reader;
-    store_reader m_servers_reader;
-    mirror_reader m_mirror_reader;
-    std::string m_followed;
-    bool m_reading_store = false;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_sweep_timer;
     boost::asio::signal_set m_signals;
@@ -105,8 +80,6 @@
     loop_lag m_lag;
     std::optional<time_point> m_stopping_since;
     std::uint64_t m_version = 0;
-    bool m_store_contact = false;
-    time_point m_contact_since;
 };
 
 } // namespace cranberrywood
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -70,6 +70,7 @@
   10: list<crash_clearance> clearances
   11: list<server_limit_report> limits
   12: bool accepts_relays
+  13: i64 settings_version
 }
 
 struct mirrored_item {
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -91,6 +91,7 @@
     copy(c.fleet_size, w.fleet_size);
     copy(c.settled, w.settled);
     copy(c.accepts_relays, w.accepts_relays);
+    copy(c.settings_version, w.settings_version);
     copy(c.members, w.packed_members);
     copy.append(c.members, w.members);
     copy(c.asks, w.asks);
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -1161,6 +1161,10 @@
 void gateway_datagram::__set_accepts_relays(const bool val) {
   this->accepts_relays = val;
 }
+
+void gateway_datagram::__set_settings_version(const int64_t val) {
+  this->settings_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
 {
   obj.printTo(out);
@@ -1381,6 +1385,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->settings_version);
+          this->__isset.settings_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1510,6 +1522,10 @@
   xfer += oprot->writeBool(this->accepts_relays);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("settings_version", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->settings_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1529,6 +1545,7 @@
   swap(a.clearances, b.clearances);
   swap(a.limits, b.limits);
   swap(a.accepts_relays, b.accepts_relays);
+  swap(a.settings_version, b.settings_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -1545,6 +1562,7 @@
   clearances = other64.clearances;
   limits = other64.limits;
   accepts_relays = other64.accepts_relays;
+  settings_version = other64.settings_version;
   __isset = other64.__isset;
 }
 gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other65) {
@@ -1560,6 +1578,7 @@
   clearances = other65.clearances;
   limits = other65.limits;
   accepts_relays = other65.accepts_relays;
+  settings_version = other65.settings_version;
   __isset = other65.__isset;
   return *this;
 }
@@ -1578,6 +1597,7 @@
   out << ", " << "clearances=" << to_string(clearances);
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "accepts_relays=" << to_string(accepts_relays);
+  out << ", " << "settings_version=" << to_string(settings_version);
   out << ")";
 }
 
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -521,7 +521,7 @@
 std::ostream& operator<<(std::ostream& out, const server_limit_report& obj);
 
 typedef struct _gateway_datagram__isset {
-  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false), accepts_relays(false) {}
+  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false), accepts_relays(false), settings_version(false) {}
   bool process :1;
   bool fleet_size :1;
   bool settled :1;
@@ -534,6 +534,7 @@
   bool clearances :1;
   bool limits :1;
   bool accepts_relays :1;
+  bool settings_version :1;
 } _gateway_datagram__isset;
 
 class gateway_datagram : public virtual ::apache::thrift::TBase {
@@ -545,7 +546,8 @@
                    : process(0),
                      fleet_size(0),
                      settled(0),
-                     accepts_relays(0) {
+                     accepts_relays(0),
+                     settings_version(0) {
   }
 
   virtual ~gateway_datagram() noexcept;
@@ -561,6 +563,7 @@
   std::vector<crash_clearance>  clearances;
   std::vector<server_limit_report>  limits;
   bool accepts_relays;
+  int64_t settings_version;
 
   _gateway_datagram__isset __isset;
 
@@ -588,6 +591,8 @@
 
   void __set_accepts_relays(const bool val);
 
+  void __set_settings_version(const int64_t val);
+
   bool operator == (const gateway_datagram & rhs) const
   {
     if (!(process == rhs.process))
@@ -614,6 +619,8 @@
       return false;
     if (!(accepts_relays == rhs.accepts_relays))
       return false;
+    if (!(settings_version == rhs.settings_version))
+      return false;
     return true;
   }
   bool operator != (const gateway_datagram &rhs) const {
