A relay counts the time that it waited at the peer; callers' largest bodies fit

The lag of its loop is taken off, as for callers' requests; a relay that is too late is declined. The control address took bodies of 1 MiB at most, callers may send more by the configuration.

--- a/src/core/relay_service.cpp
+++ b/src/core/relay_service.cpp
@@ -45,6 +45,9 @@
     if (m_links_lost) {
         return "no_links";
     }
+    if (request.deadline <= duration(0)) {
+        return "too_late";
+    }
     if (m_sender.relayed_count() >= max_relayed) {
         return "too_many";
     }
--- a/src/loop/control_front.cpp
+++ b/src/loop/control_front.cpp
@@ -65,6 +65,13 @@
     }
 }
 
+void control_front::limit_body(std::uint64_t bytes)
+{
+    front_limits limits;
+    limits.message.body_bytes = bytes;
+    m_front.limit(limits);
+}
+
 std::optional<std::string> control_front::listen(const endpoint& address)
 {
     return m_front.listen(address);
--- a/src/loop/control_front.hpp
+++ b/src/loop/control_front.hpp
@@ -42,6 +42,8 @@
                      closed_handler closed);
     /** Answers a call. */
     void answer(caller_token token, std::string body);
+    /** Sets the largest body of a call, in bytes. */
+    void limit_body(std::uint64_t bytes);
     std::optional<std::string> listen(const endpoint& address);
 
     /** Answers those that wait for news, up to a place. */
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -25,6 +25,8 @@
 /** Time after which a VM is ready though it found no other. */
 constexpr duration longest_unready = 4s;
 constexpr const char* ready_path = "/ready";
+/** Bytes of a request to relay beside the caller's head and body. */
+constexpr std::uint64_t relay_overhead = 4096;
 
 /** The balancer's address has nothing to follow. */
 mirror_update no_updates(incarnation /*process*/, std::uint64_t /*place*/)
@@ -127,8 +129,9 @@
                        {{}, exchange_failure{exchange_fault::declined}, {}}));
         return;
     }
-    handle(relay_requested{relay_token(token.value()),
-                           std::get<relay_request>(std::move(decoded))});
+    auto& request = std::get<relay_request>(decoded);
+    request.deadline -= m_lag.at(m_clock.now());
+    handle(relay_requested{relay_token(token.value()), std::move(request)});
 }
 
 void gateway_process::request_read(caller_token token, http_request request,
@@ -206,6 +209,8 @@
     limits.header_timeout = settings->limits.header_timeout;
     limits.idle_timeout = settings->limits.idle_timeout;
     m_front.limit(limits);
+    m_control_front.limit_body(limits.message.body_bytes +
+                               limits.message.header_bytes + relay_overhead);
     m_log.write(log_code::revision_accepted,
                 "revision=" + std::to_string(m_version));
 }
--- a/src/tests/fakes/gateway_driver.hpp
+++ b/src/tests/fakes/gateway_driver.hpp
@@ -22,6 +22,7 @@
     std::vector<answer_to_caller> answers;
     std::vector<send_datagram> datagrams;
     std::vector<probe_server> probes;
+    std::vector<answer_relay> relay_answers;
     std::uint64_t tokens = 0;
 
     static service_id service_of(std::uint64_t number)
@@ -131,6 +132,9 @@
             } else if (const auto* sent =
                            std::get_if<send_datagram>(&command)) {
                 datagrams.push_back(*sent);
+            } else if (const auto* relay =
+                           std::get_if<answer_relay>(&command)) {
+                relay_answers.push_back(*relay);
             } else if (const auto* probe =
                            std::get_if<probe_server>(&command)) {
                 probes.push_back(*probe);
--- a/src/tests/loop/relay_links_test.cpp
+++ b/src/tests/loop/relay_links_test.cpp
@@ -144,6 +144,22 @@
     }
 }
 
+// A caller's largest body must fit, with what travels beside it.
+TEST(relay_links, a_body_at_the_limit_of_callers_passes)
+{
+    constexpr std::size_t body_bytes = 2UL * 1024 * 1024;
+    serve();
+    front.limit_body(body_bytes + 4096);
+    relay_request large = request();
+    large.outbound = std::make_shared<const outbound_request>(outbound_request{
+        "id-2", "POST", "/", "", std::string(body_bytes, 'x')});
+    links.start({exchange_id(3), "127.0.0.1:7000", large});
+    CHECK(wait_for([&] { return !called.empty(); }));
+    const auto read =
+        std::get<relay_request>(decode_relay_request(called[0].second));
+    CHECK_EQUAL(body_bytes, read.outbound->body.size());
+}
+
 // The peer must not go on with work that nobody waits for.
 TEST(relay_links, a_cancelled_exchange_is_withdrawn_at_the_peer)
 {
