--- a/src/tests/process/fleet_process_test.sh
+++ b/src/tests/process/fleet_process_test.sh
@@ -8,25 +8,56 @@
 # too, which the end of a process does not wait for. Leaks are found by the
 # tests of the classes.
 export ASAN_OPTIONS=detect_leaks=0
-FLEET_PLATFORM_PORT=30080
 FLEET_FOLDER=$(mktemp -d)
 . tools/fleet.sh
 trap 'fleet_down; rm -rf "$FLEET_FOLDER"' EXIT
+# Ports of the example: 21001 to 23999.
+example_first_port=21000
+block_size=3000
 key='X-Workspace-Key: key-dispatch-desk'
 query='{"service":"dispatch","deadline_ms":2000,"hit_limit":3,"body":"curb"}'
 
 fail() {
   echo "FAILED: $*" >&2
-  tail -n 5 "$FLEET_FOLDER"/*.log >&2
+  tail -n 5 "$FLEET_FOLDER"/*.log >&2 || true
   exit 1
 }
 
+# Prints the local ports in use, one a line.
+ports_in_use() {
+  awk 'FNR > 1 { split($2, local, ":"); print local[2] }' \
+    /proc/net/tcp /proc/net/tcp6 /proc/net/udp 2>/dev/null \
+    | while read -r hex; do echo "$((16#$hex))"; done
+}
+
+# Prints the first port of a block that is free. The blocks lie below the range
+# from which the system takes ports for outgoing connections, so that none of
+# these can hold one of their ports.
+free_block() {
+  local first in_use
+  in_use=$(ports_in_use)
+  for first in 11000 14000 17000 24000 27000; do
+    if ! awk -v first="$first" -v size="$block_size" \
+      '$1 >= first && $1 < first + size { found = 1 } END { exit !found }' \
+      <<<"$in_use"; then
+      echo "$first"
+      return 0
+    fi
+  done
+  return 1
+}
+
 # Ports of their own, so that a running example does not disturb the test.
 prepare() {
+  local first
+  first=$(free_block) || fail "no block of $block_size ports is free"
+  FLEET_PLATFORM_PORT=$first
   mkdir -p "$FLEET_FOLDER/example"
+  awk -v first="$first" -v example="$example_first_port" '
+    /port = 2[123][0-9][0-9][0-9]$/ { $NF = $NF - example + first }
+    { print }' examples/lone-oak/base.ini >"$FLEET_FOLDER/base.ini"
   cp -r examples/lone-oak/. "$FLEET_FOLDER/example/"
-  sed -i -E 's/(port = )2([123][0-9]{3})$/\13\2/' \
-    "$FLEET_FOLDER/example/base.ini"
+  mv "$FLEET_FOLDER/base.ini" "$FLEET_FOLDER/example/base.ini"
   fleet_prepare "$FLEET_FOLDER/example" "$FLEET_FOLDER"
 }
 
