--- a/src/tests/fakes/gateway_driver.hpp
+++ b/src/tests/fakes/gateway_driver.hpp
@@ -22,6 +22,7 @@
     std::vector<answer_to_caller> answers;
     std::vector<send_datagram> datagrams;
     std::vector<probe_server> probes;
+    std::vector<start_relay> relays;
     std::vector<answer_relay> relay_answers;
     std::uint64_t tokens = 0;
 
@@ -138,6 +139,8 @@
             } else if (const auto* probe =
                            std::get_if<probe_server>(&command)) {
                 probes.push_back(*probe);
+            } else if (const auto* asked = std::get_if<start_relay>(&command)) {
+                relays.push_back(*asked);
             }
         }
     }
