QUOTA: VMs that restart out of sight of others use a part of each rate

Cause: a restarted VM counts as knowing the fleet once it knows as many VMs as its peers report; peers that restarted with it report no more. They divided the whole rate, while VMs of the other side went on with their slices. Class of fault: a fleet-wide limit divided by a view that is no older than the process. Change: VMs tell in datagrams whether a VM that ran before confirmed their view of the fleet. Ruled out: memory of peers (none remains), a number of VMs as a setting (the platform gives none), half of the rate (refuses tenants that use 0.6 of theirs for ten minutes after each loss of power), slices given up by VMs that lose sight of others (refuses callers in plain partitions).

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -63,7 +63,7 @@
       m_server_limits(limits), m_suspicions(suspicions), m_relay_peers(peers),
       m_observer(servers), m_vms(settings.member.assumed_vms),
       m_extra_sends({settings.extra_send_percent, settings.extra_send_allowance,
-                     settings.first_start},
+                     settings.member.origin.first_start},
                     settings.member.assumed_vms)
 {
 }
@@ -134,7 +134,7 @@
 {
     choice_criteria terms;
     terms.service = service;
-    terms.own_data_centre = m_settings.data_centre;
+    terms.own_data_centre = m_settings.member.origin.data_centre;
     terms.max_in_flight = max_in_flight(service);
     terms.extra = extra;
     return terms;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -391,12 +391,17 @@
 void gateway::update_fleet_size(time_point now, gateway_commands& out)
 {
     const std::uint32_t size = m_members.fleet_size(now);
-    if (size == m_fleet_size) {
+    const double share = m_members.usable_share(now);
+    if (size == m_fleet_size && share == m_fleet_share) {
         return;
     }
+    if (size != m_fleet_size) {
+        m_sender.fleet_changed(size);
+    }
     m_fleet_size = size;
-    m_sender.fleet_changed(size);
-    log(log_code::fleet_size_changed, "vms=" + std::to_string(size), out);
+    m_fleet_share = share;
+    log(log_code::fleet_size_changed,
+        "vms=" + std::to_string(size) + " share=" + std::to_string(share), out);
 }
 
 void gateway::start_call(open_request& request, std::uint32_t call,
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -169,6 +169,8 @@
     gateway_peers m_peers;
     relay_service m_relays;
     std::uint32_t m_fleet_size = 0;
+    /** Share of the limits that the known VMs divide. */
+    double m_fleet_share = 1.0;
     std::shared_ptr<const catalogue> m_settings;
     peer_configuration m_peer_configuration;
     open_requests m_requests;
--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -89,6 +89,10 @@
     std::uint32_t fleet_size = 1;
     /** The sender has run long enough to have discovered the fleet. */
     bool settled = false;
+    /** VMs that hold slices of limits may be out of the sender's sight. */
+    bool fleet_unconfirmed = false;
+    /** Data centre of the sender; unset from VMs of earlier versions. */
+    data_centre_id data_centre;
     /** The sender relays exchanges for VMs without links to servers. */
     bool accepts_relays = false;
     /** Version of the configuration that the sender has in force; 0: none. */
--- a/src/core/gateway_settings.hpp
+++ b/src/core/gateway_settings.hpp
@@ -12,13 +12,10 @@
 /** Start-up settings of a gateway: its location and limits. */
 struct gateway_settings
 {
-    data_centre_id data_centre;
     /** Limit on a service's extra sends, in percent of its requests. */
     std::uint32_t extra_send_percent = 20;
     /** Fixed allowance of extra sends per service in addition, over all VMs. */
     double extra_send_allowance = 50.0;
-    /** The fleet starts for the first time. */
-    bool first_start = false;
     member_identity member;
 };
 
--- a/src/loop/gateway_file.cpp
+++ b/src/loop/gateway_file.cpp
@@ -54,6 +54,21 @@
     return error;
 }
 
+std::string take_data_centres(const std::string& value,
+                              std::vector<data_centre_id>& to)
+{
+    std::istringstream list(value);
+    std::string item;
+    while (std::getline(list, item, ',')) {
+        std::string name;
+        if (auto error = take_name(item, name); !error.empty()) {
+            return error;
+        }
+        to.push_back(id_of<data_centre_id>(name));
+    }
+    return {};
+}
+
 std::string take_flag(const std::string& value, bool& to)
 {
     if (value != "true" && value != "false") {
@@ -66,6 +81,7 @@
 process_file_keys keys_of(gateway_file& f)
 {
     process_file_keys keys;
+    fleet_origin& origin = f.decisions.member.origin;
     keys.required = {
         {"vm.name", [&](auto& v) { return take_name(v, f.name); }},
         {"vm.data_centre",
@@ -81,6 +97,10 @@
         {"store.address", [&](auto& v) { return take_endpoint(v, f.store); }},
     };
     keys.optional = {
+        {"vm.data_centres",
+         [&](auto& v) { return take_data_centres(v, origin.data_centres); }},
+        {"vm.first_start",
+         [&](auto& v) { return take_flag(v, origin.first_start); }},
         {"peers.seeds", [&](auto& v) { return take_endpoints(v, f.seeds); }},
         {"extra_sends.share",
          [&](auto& v) {
@@ -92,7 +112,7 @@
                                  f.decisions.extra_send_allowance);
          }},
         {"extra_sends.first_start",
-         [&](auto& v) { return take_flag(v, f.decisions.first_start); }},
+         [&](auto& v) { return take_flag(v, origin.first_start); }},
         {"stop.within_s",
          [&](auto& v) { return take_seconds(v, f.stop_within); }},
     };
@@ -109,8 +129,8 @@
     if (!errors.empty()) {
         return errors;
     }
-    file.decisions.data_centre = id_of<data_centre_id>(file.data_centre);
     member_identity& member = file.decisions.member;
+    member.origin.data_centre = id_of<data_centre_id>(file.data_centre);
     member.self = to_string(endpoint{file.host, file.peer_port});
     for (const endpoint& seed : file.seeds) {
         member.seeds.push_back(to_string(endpoint{seed.host, file.peer_port}));
--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -1,5 +1,7 @@
 #include "systems/members/member_directory.hpp"
 
+#include "systems/members/member_memory.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -23,8 +25,6 @@
 constexpr double spread_margin = 1.5;
 /** Datagrams with hints that a VM receives per second. */
 constexpr double datagrams_per_second = 6.0;
-/** Silence after which a VM is evicted. */
-constexpr duration eviction_time = 10min;
 /** Time for which a fleet size reported by a peer is used. */
 constexpr duration reported_size_lifetime = 60s;
 constexpr std::size_t max_heartbeat_targets = 3;
@@ -40,7 +40,8 @@
 
 member_directory::member_directory(member_identity identity,
                                    random_source& random, time_point started)
-    : m_identity(std::move(identity)), m_random(random), m_started(started)
+    : m_identity(std::move(identity)), m_share(m_identity.origin, started),
+      m_random(random), m_started(started)
 {
 }
 
@@ -49,8 +50,9 @@
                                 time_point now)
 {
     record_heard(from, now);
+    m_share.received(datagram);
     for (const member_hint& hint : datagram.members) {
-        if (hint.address == m_identity.self || hint.age > eviction_time) {
+        if (hint.address == m_identity.self || hint.age > member_memory) {
             continue;
         }
         record_heard(hint.address, now - hint.age);
@@ -155,6 +157,8 @@
 {
     datagram.fleet_size = static_cast<std::uint32_t>(m_heard.size() + 1);
     datagram.settled = settled(now);
+    datagram.fleet_unconfirmed = !m_share.confirmed(now) || !knows_all(now);
+    datagram.data_centre = m_share.data_centre();
 }
 
 void member_directory::add_hints(gateway_datagram& datagram, time_point now)
@@ -181,6 +185,25 @@
     return settled(now) ? size : std::max(size, m_identity.assumed_vms);
 }
 
+double member_directory::usable_share(time_point now) const
+{
+    return is_alone() ? 1.0 : m_share.usable(heard_seeds(), now);
+}
+
+/** Returns the part of the seeds that this VM has heard from or is itself. */
+double member_directory::heard_seeds() const
+{
+    const auto& seeds = m_identity.seeds;
+    if (seeds.empty()) {
+        return 1.0;
+    }
+    const auto heard =
+        std::count_if(seeds.begin(), seeds.end(), [&](const auto& seed) {
+            return seed == m_identity.self || m_heard.count(seed) != 0;
+        });
+    return static_cast<double>(heard) / static_cast<double>(seeds.size());
+}
+
 std::vector<std::string> member_directory::live(time_point now)
 {
     std::vector<std::string> addresses;
@@ -196,7 +219,7 @@
 void member_directory::evict_silent(time_point now)
 {
     for (auto it = m_heard.begin(); it != m_heard.end();) {
-        if (now - it->second > eviction_time) {
+        if (now - it->second > member_memory) {
             it = m_heard.erase(it);
             ++m_version;
         } else {
--- a/src/systems/members/member_directory.hpp
+++ b/src/systems/members/member_directory.hpp
@@ -3,6 +3,7 @@
 
 #include "core/gateway_datagram.hpp"
 #include "core/random_source.hpp"
+#include "systems/members/fleet_share.hpp"
 
 #include <algorithm>
 #include <map>
@@ -20,6 +21,7 @@
     std::vector<std::string> seeds;
     /** Fleet size assumed before the fleet is known. */
     std::uint32_t assumed_vms = 32;
+    fleet_origin origin = {};
 };
 
 /**
@@ -52,6 +54,8 @@
 
     /** Returns how many VMs may share the limits of the fleet. */
     std::uint32_t fleet_size(time_point now) const;
+    /** Returns the share of a limit that the known VMs may divide. */
+    double usable_share(time_point now) const;
     /** Returns whether the VM at an address was heard from recently. */
     bool is_live(const std::string& address, time_point now) const;
     /**
@@ -101,9 +105,11 @@
     void record_heard(const std::string& address, time_point at);
     bool has_discovered(double share, time_point now) const;
     bool is_alone() const;
+    double heard_seeds() const;
     void shuffle(std::vector<std::string>& addresses);
 
     member_identity m_identity;
+    fleet_share m_share;
     random_source& m_random;
     time_point m_started;
     std::map<std::string, time_point> m_heard;
--- a/src/systems/rates/rate_slices.cpp
+++ b/src/systems/rates/rate_slices.cpp
@@ -270,9 +270,9 @@
         return;
     }
     const auto holders = static_cast<double>(set.addresses.size() + 1);
-    const auto rate = static_cast<std::uint64_t>(entry.rate * milli / holders);
-    const auto burst =
-        static_cast<std::uint64_t>(entry.burst * milli / holders);
+    const double part = m_members.usable_share(now) * milli / holders;
+    const auto rate = static_cast<std::uint64_t>(entry.rate * part);
+    const auto burst = static_cast<std::uint64_t>(entry.burst * part);
     s.own.refill(rate, burst + tokens_per_request, now);
 }
 
--- a/src/tests/crash_fleet_test.cpp
+++ b/src/tests/crash_fleet_test.cpp
@@ -155,8 +155,8 @@
     {
         vm& v = m_vms[index];
         gateway_settings settings;
-        settings.data_centre = data_centre_id(1 + index % 3);
         settings.member = {address(index), {address(0), address(1)}};
+        settings.member.origin.data_centre = data_centre_id(1 + index % 3);
         v.random = std::make_unique<seeded_random>(m_random.next());
         v.core = std::make_unique<gateway>(settings, *v.random, m_now);
         v.started = m_now;
--- a/src/tests/fakes/gateway_driver.hpp
+++ b/src/tests/fakes/gateway_driver.hpp
@@ -33,8 +33,8 @@
     static gateway_settings settings()
     {
         gateway_settings s;
-        s.data_centre = data_centre_id(1);
         s.member = {"10.0.0.1:7000", {"10.0.0.1:7000"}};
+        s.member.origin.data_centre = data_centre_id(1);
         return s;
     }
     void setup() override
--- a/src/tests/gateway_peers_test.cpp
+++ b/src/tests/gateway_peers_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway_peers.hpp"
+#include "fakes/peer_vm.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -33,27 +33,13 @@
     return settings;
 }
 
-/** One VM: its members, rates and exchange of datagrams. */
-struct peer_vm
+std::unique_ptr<fakes::peer_vm> make_vm(std::size_t self, random_source& random,
+                                        time_point now)
 {
-    peer_vm(std::size_t self, random_source& random, time_point now)
-        : members({address(self), {address(0), address(1), address(2)}}, random,
-                  now),
-          rates(members), limits(servers, members), relays(members, random),
-          peers(members, incarnation(self + 1), rates, limits, quarantine,
-                relays, now)
-    {
-        rates.catalogue_changed(rate_limits(), now);
-    }
-
-    member_directory members;
-    rate_slices rates;
-    server_table servers;
-    server_limits limits;
-    crash_quarantine quarantine;
-    relay_peers relays;
-    gateway_peers peers;
-};
+    return std::make_unique<fakes::peer_vm>(
+        member_identity{address(self), {address(0), address(1), address(2)}},
+        incarnation(self + 1), rate_limits(), random, now);
+}
 
 /** VMs that start at once on a network that loses one datagram in `loss`. */
 class peer_fleet
@@ -64,7 +50,7 @@
         : m_random(seed), m_loss(loss)
     {
         for (std::size_t vm = 0; vm < vms; ++vm) {
-            m_vms.push_back(std::make_unique<peer_vm>(vm, m_random, m_now));
+            m_vms.push_back(make_vm(vm, m_random, m_now));
         }
     }
     void run(duration length)
@@ -146,7 +132,7 @@
     seeded_random m_random;
     std::uint64_t m_loss;
     time_point m_now{1h};
-    std::vector<std::unique_ptr<peer_vm>> m_vms;
+    std::vector<std::unique_ptr<fakes::peer_vm>> m_vms;
     std::size_t m_stopped_from = SIZE_MAX;
     std::size_t m_sent = 0;
 };
--- a/src/tests/loop/gateway_codec_test.cpp
+++ b/src/tests/loop/gateway_codec_test.cpp
@@ -24,6 +24,8 @@
     datagram.grants = {{6, workspace_id(9), 2, 1s}};
     datagram.accepts_relays = true;
     datagram.settings_version = 12;
+    datagram.fleet_unconfirmed = true;
+    datagram.data_centre = data_centre_id(31);
     datagram.suspicions = {{backend_server_id(31), 150ms}};
     datagram.limits = {{backend_server_id(31), true, 6900, 20ms}};
     datagram.crashes = {{fingerprint(1ULL << 63U), backend_server_id(31),
@@ -61,6 +63,8 @@
     CHECK(datagram.settled);
     CHECK(datagram.accepts_relays);
     CHECK_EQUAL(12U, datagram.settings_version);
+    CHECK(datagram.fleet_unconfirmed);
+    CHECK(datagram.data_centre == data_centre_id(31));
     STRCMP_EQUAL("10.0.0.1:7000", datagram.members[0].address.c_str());
     CHECK(datagram.members[0].age == duration(3s));
     CHECK_EQUAL(3U, datagram.asks[0].tokens);
--- a/src/tests/loop/gateway_file_test.cpp
+++ b/src/tests/loop/gateway_file_test.cpp
@@ -66,6 +66,25 @@
     STRCMP_EQUAL("10.2.0.28:7740", file.decisions.member.seeds[1].c_str());
 }
 
+TEST(gateway_file, reads_what_is_known_of_the_fleet_at_the_start)
+{
+    const auto plain = read_gateway_file(whole);
+    const fleet_origin& unknown =
+        std::get<gateway_file>(plain).decisions.member.origin;
+    CHECK(!unknown.first_start);
+    CHECK(unknown.data_centres.empty());
+    CHECK(unknown.data_centre == id_of<data_centre_id>("austin"));
+    const auto read = read_gateway_file(replaced("host = 10.1.0.17",
+                                                 "host = 10.1.0.17\n"
+                                                 "data_centres = austin,waco\n"
+                                                 "first_start = true"));
+    const fleet_origin& origin =
+        std::get<gateway_file>(read).decisions.member.origin;
+    CHECK(origin.first_start);
+    CHECK_EQUAL(2U, origin.data_centres.size());
+    CHECK(origin.data_centres[1] == id_of<data_centre_id>("waco"));
+}
+
 // Values that the users' platform may fill in: bounds are whole numbers or
 // fractions, zero included, and a small deployment has the least of them.
 TEST(gateway_file, takes_the_whole_range_of_a_deployment)
@@ -85,6 +104,7 @@
         {"seeds = 10.1.0.17:8360,10.2.0.28:8360\n", "", 20, 54.0, 6s},
         {"[extra_sends]\nshare = 0.2\nsaved = 54\n", "", 20, 50.0, 6s},
         {"ports = 7740,7755", "ports = 7740", 20, 54.0, 6s},
+        {"host = 10.1.0.17", "host = 10.1.0.17\ndata_centres = ", 20, 54.0, 6s},
     };
     for (const valid_row& row : table) {
         const auto read = read_gateway_file(replaced(row.from, row.to));
@@ -108,6 +128,10 @@
         {"share = 0.2", "share = nan", "15: extra_sends.share: must be a"},
         {"saved = 54", "saved = -1", "16: extra_sends.saved: must be a"},
         {"saved = 54", "first_start = 1", "16: extra_sends.first_start: must"},
+        {"host = 10.1.0.17", "first_start = 1\nhost = 10.1.0.17",
+         "4: vm.first_start: must"},
+        {"host = 10.1.0.17", "data_centres = a,,b\nhost = 10.1.0.17",
+         "4: vm.data_centres: must"},
         {"within_s = 6", "within_s = 6s", "18: stop.within_s: must be a"},
         {"saved = 54", "saved = x", "16: extra_sends.saved: must be a number"},
         {"ports = 7740,7755", "ports = 0,1", "10: peers.ports: must be"},
--- a/src/tests/soak/soak_world.cpp
+++ b/src/tests/soak/soak_world.cpp
@@ -157,10 +157,11 @@
         return;
     }
     gateway_settings settings;
-    settings.data_centre = data_centre_id(1 + index % 3);
     settings.extra_send_percent = 20;
     settings.extra_send_allowance = 54;
     settings.member = {vm_address(index), {vm_address(0), vm_address(1)}};
+    settings.member.origin.first_start = m_processes < m_vms.size();
+    settings.member.origin.data_centre = data_centre_id(1 + index % 3);
     v.random = std::make_unique<seeded_random>(m_random.next());
     v.core = std::make_unique<gateway>(settings, *v.random, m_now);
     v.process = ++m_processes;
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -71,6 +71,8 @@
   11: list<server_limit_report> limits
   12: bool accepts_relays
   13: i64 settings_version
+  14: bool fleet_unconfirmed
+  15: i64 data_centre
 }
 
 struct mirrored_item {
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -92,6 +92,8 @@
     copy(c.settled, w.settled);
     copy(c.accepts_relays, w.accepts_relays);
     copy(c.settings_version, w.settings_version);
+    copy(c.fleet_unconfirmed, w.fleet_unconfirmed);
+    copy(c.data_centre, w.data_centre);
     copy(c.members, w.packed_members);
     copy.append(c.members, w.members);
     copy(c.asks, w.asks);
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -1165,6 +1165,14 @@
 void gateway_datagram::__set_settings_version(const int64_t val) {
   this->settings_version = val;
 }
+
+void gateway_datagram::__set_fleet_unconfirmed(const bool val) {
+  this->fleet_unconfirmed = val;
+}
+
+void gateway_datagram::__set_data_centre(const int64_t val) {
+  this->data_centre = val;
+}
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
 {
   obj.printTo(out);
@@ -1393,6 +1401,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->fleet_unconfirmed);
+          this->__isset.fleet_unconfirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1526,6 +1550,14 @@
   xfer += oprot->writeI64(this->settings_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fleet_unconfirmed", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->fleet_unconfirmed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1546,6 +1578,8 @@
   swap(a.limits, b.limits);
   swap(a.accepts_relays, b.accepts_relays);
   swap(a.settings_version, b.settings_version);
+  swap(a.fleet_unconfirmed, b.fleet_unconfirmed);
+  swap(a.data_centre, b.data_centre);
   swap(a.__isset, b.__isset);
 }
 
@@ -1563,6 +1597,8 @@
   limits = other64.limits;
   accepts_relays = other64.accepts_relays;
   settings_version = other64.settings_version;
+  fleet_unconfirmed = other64.fleet_unconfirmed;
+  data_centre = other64.data_centre;
   __isset = other64.__isset;
 }
 gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other65) {
@@ -1579,6 +1615,8 @@
   limits = other65.limits;
   accepts_relays = other65.accepts_relays;
   settings_version = other65.settings_version;
+  fleet_unconfirmed = other65.fleet_unconfirmed;
+  data_centre = other65.data_centre;
   __isset = other65.__isset;
   return *this;
 }
@@ -1598,6 +1636,8 @@
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "accepts_relays=" << to_string(accepts_relays);
   out << ", " << "settings_version=" << to_string(settings_version);
+  out << ", " << "fleet_unconfirmed=" << to_string(fleet_unconfirmed);
+  out << ", " << "data_centre=" << to_string(data_centre);
   out << ")";
 }
 
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -521,7 +521,7 @@
 std::ostream& operator<<(std::ostream& out, const server_limit_report& obj);
 
 typedef struct _gateway_datagram__isset {
-  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false), accepts_relays(false), settings_version(false) {}
+  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false), accepts_relays(false), settings_version(false), fleet_unconfirmed(false), data_centre(false) {}
   bool process :1;
   bool fleet_size :1;
   bool settled :1;
@@ -535,6 +535,8 @@
   bool limits :1;
   bool accepts_relays :1;
   bool settings_version :1;
+  bool fleet_unconfirmed :1;
+  bool data_centre :1;
 } _gateway_datagram__isset;
 
 class gateway_datagram : public virtual ::apache::thrift::TBase {
@@ -547,7 +549,9 @@
                      fleet_size(0),
                      settled(0),
                      accepts_relays(0),
-                     settings_version(0) {
+                     settings_version(0),
+                     fleet_unconfirmed(0),
+                     data_centre(0) {
   }
 
   virtual ~gateway_datagram() noexcept;
@@ -564,6 +568,8 @@
   std::vector<server_limit_report>  limits;
   bool accepts_relays;
   int64_t settings_version;
+  bool fleet_unconfirmed;
+  int64_t data_centre;
 
   _gateway_datagram__isset __isset;
 
@@ -593,6 +599,10 @@
 
   void __set_settings_version(const int64_t val);
 
+  void __set_fleet_unconfirmed(const bool val);
+
+  void __set_data_centre(const int64_t val);
+
   bool operator == (const gateway_datagram & rhs) const
   {
     if (!(process == rhs.process))
@@ -621,6 +631,10 @@
       return false;
     if (!(settings_version == rhs.settings_version))
       return false;
+    if (!(fleet_unconfirmed == rhs.fleet_unconfirmed))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
     return true;
   }
   bool operator != (const gateway_datagram &rhs) const {
