quarantine: every VM that knows of a strike repeats it to the owners of the shard

Change: each VM that knows of a strike repeats it each 2 s until it expires, to those that own replicas of the shard at that time. A repeat changes nothing at a VM that knows it, so a completion in between stands.

--- a/src/systems/queries/quarantine.cpp
+++ b/src/systems/queries/quarantine.cpp
@@ -12,8 +12,10 @@
 constexpr duration crash_window = std::chrono::seconds(1);
 /** Maximum number of tracked fingerprints. */
 constexpr std::size_t max_suspects = 4096;
-/** Number of VMs that are sent a refusal per tick. */
+/** Number of VMs that are sent a refusal, or a notice again, per tick. */
 constexpr std::size_t notices_per_tick = 32;
+/** Interval at which notices of strikes are repeated until they expire. */
+constexpr duration repeat_interval = std::chrono::seconds(2);
 
 } // namespace
 
@@ -79,7 +81,7 @@
     if (settings == nullptr) {
         return;
     }
-    const std::set<vm_id> owners = owners_of_replicas(*settings);
+    const std::set<vm_id> owners = owners_of_replicas(settings->shard);
     std::set<fingerprint> struck;
     for (const auto& request : requests) {
         if (struck.insert(request.print).second) {
@@ -114,7 +116,8 @@
 
 // Two VMs may report the same crash, so the larger count is taken instead of
 // the sum. The shard is stored because the next crash on it is detected by the
-// owner of another replica, which may be this VM.
+// owner of another replica, which may be this VM. A repeated notice changes
+// nothing: the request may have completed on that shard since.
 void quarantine::receive(vm_id from, const quarantine_notice& notice,
                          time_point now, outbox& out)
 {
@@ -131,11 +134,17 @@
         return;
     }
     suspect& s = find_or_insert(notice.print);
+    s.reporters.insert(from);
+    const bool other_shard =
+        notice.shard.is_set() && s.struck_shards.insert(notice.shard).second;
+    if (!other_shard && notice.strikes <= s.strikes) {
+        return;
+    }
     s.strikes = std::max(s.strikes, notice.strikes);
     s.until =
         std::max(s.until, now + std::min(notice.valid_for, strike_lifetime()));
-    s.last_strike = now;
-    s.reporters.insert(from);
+    s.last_strike = s.until - strike_lifetime();
+    s.repeat_at = now + repeat_interval;
     if (notice.shard.is_set()) {
         s.shards.insert(notice.shard);
     }
@@ -147,6 +156,7 @@
         it = now >= it->second.until ? m_suspects.erase(it) : std::next(it);
     }
     broadcast_refusals(now, out);
+    repeat_notices(now, out);
 }
 
 std::size_t quarantine::size() const
@@ -164,8 +174,8 @@
 void quarantine::clear(suspects_by_print::iterator it, vm_id source,
                        outbox& out)
 {
-    std::set<vm_id> receivers = it->second.reporters;
-    receivers.insert(it->second.notified.begin(), it->second.notified.end());
+    std::set<vm_id> receivers = it->second.notified;
+    receivers.insert(it->second.reporters.begin(), it->second.reporters.end());
     for (const auto receiver : receivers) {
         if (receiver != source) {
             out.to_peer(receiver, quarantine_notice{it->first, 0, duration(0),
@@ -210,6 +220,7 @@
     const bool same_window =
         s.strikes > 0 && now - s.last_strike < crash_window;
     s.shards.insert(shard);
+    s.struck_shards.insert(shard);
     s.until = now + strike_lifetime();
     if (same_window && !again) {
         return;
@@ -218,6 +229,7 @@
     s.last_strike = now;
     const quarantine_notice notice{request.print, s.strikes, strike_lifetime(),
                                    shard};
+    s.repeat_at = now + repeat_interval;
     if (s.strikes == refusal_threshold) {
         m_broadcasts.push_back({request.print, 0});
         out.log(log_code::request_refused_after_crashes,
@@ -233,11 +245,10 @@
     }
 }
 
-std::set<vm_id>
-quarantine::owners_of_replicas(const backend_server_settings& server) const
+std::set<vm_id> quarantine::owners_of_replicas(shard_id shard) const
 {
     std::set<vm_id> owners;
-    for (const auto replica : m_settings->replicas_of(server.shard)) {
+    for (const auto replica : m_settings->replicas_of(shard)) {
         const auto group =
             m_roles.map().owner_group(*m_settings->find(replica));
         const vm_id owner = m_roles.believed_holder(group);
@@ -248,6 +259,43 @@
     return owners;
 }
 
+// A notice is lost with its link, and a VM that restarts forgets it. Every VM
+// that knows of a strike repeats it to those that own replicas of the shard at
+// that time, so that one of them is enough.
+void quarantine::repeat_notices(time_point now, outbox& out)
+{
+    if (m_settings == nullptr) {
+        return;
+    }
+    std::size_t sent = 0;
+    for (auto& [print, s] : m_suspects) {
+        if (now < s.repeat_at) {
+            continue;
+        }
+        if (sent >= notices_per_tick) {
+            return;
+        }
+        s.repeat_at = now + repeat_interval;
+        for (const shard_id shard : s.struck_shards) {
+            sent += repeat_notice(print, s, shard, now, out);
+        }
+    }
+}
+
+std::size_t quarantine::repeat_notice(fingerprint print, suspect& s,
+                                      shard_id shard, time_point now,
+                                      outbox& out)
+{
+    const std::set<vm_id> owners = owners_of_replicas(shard);
+    s.notified.insert(owners.begin(), owners.end());
+    s.notified.erase(m_self);
+    for (const vm_id receiver : s.notified) {
+        out.to_peer(receiver,
+                    quarantine_notice{print, s.strikes, s.until - now, shard});
+    }
+    return s.notified.size();
+}
+
 void quarantine::broadcast_refusals(time_point now, outbox& out)
 {
     if (m_broadcasts.empty() || m_settings == nullptr) {
--- a/src/systems/queries/quarantine.hpp
+++ b/src/systems/queries/quarantine.hpp
@@ -73,7 +73,10 @@
     void receive(vm_id from, const quarantine_notice& notice, time_point now,
                  outbox& out);
 
-    /** Removes expired strikes and sends pending refusals to all VMs. */
+    /**
+     * Removes expired strikes, repeats notices of strikes and sends pending
+     * refusals to all VMs.
+     */
     void tick(time_point now, outbox& out);
 
     /** Returns the number of tracked fingerprints. */
@@ -90,10 +93,13 @@
          * notices.
          */
         std::set<shard_id> shards;
+        /** All such shards, also those on which it has completed since. */
+        std::set<shard_id> struck_shards;
         /** VMs that reported strikes. */
         std::set<vm_id> reporters;
         /** VMs that were notified of strikes. */
         std::set<vm_id> notified;
+        time_point repeat_at;
     };
 
     using suspects_by_print = std::map<fingerprint, suspect>;
@@ -111,9 +117,12 @@
     void evict_one();
     void add_strike(const request_at_crash& request, shard_id shard,
                     const std::set<vm_id>& owners, time_point now, outbox& out);
-    std::set<vm_id>
-    owners_of_replicas(const backend_server_settings& server) const;
+    std::set<vm_id> owners_of_replicas(shard_id shard) const;
     void broadcast_refusals(time_point now, outbox& out);
+    void repeat_notices(time_point now, outbox& out);
+    /** Sends the strikes on one shard again; returns the number of messages. */
+    std::size_t repeat_notice(fingerprint print, suspect& s, shard_id shard,
+                              time_point now, outbox& out);
 
     vm_id m_self;
     role_view& m_roles;
--- a/src/tests/quarantine_test.cpp
+++ b/src/tests/quarantine_test.cpp
@@ -103,6 +103,73 @@
     CHECK(notified == std::set<vm_id>({owner, entry}));
 }
 
+// The link that was to carry the only notice was cut, and the owner of another
+// replica of the shard took the next crash for the first.
+TEST(quarantine, a_notice_is_repeated_until_the_strike_expires)
+{
+    crash("s0-r0", {poison}, t0);
+    out.take_peer_messages();
+    table.tick(t0 + seconds(1), out);
+    CHECK(out.take_peer_messages().empty());
+    for (const seconds later : {seconds(2), seconds(100), seconds(299)}) {
+        table.tick(t0 + later, out);
+        std::set<vm_id> notified;
+        for (const auto& message : out.take_peer_messages()) {
+            const auto& notice = std::get<quarantine_notice>(message.body);
+            notified.insert(message.to);
+            CHECK_EQUAL(1U, notice.strikes);
+            CHECK(notice.valid_for == seconds(300) - later);
+            CHECK(notice.shard == shard_id_of("search", "s0"));
+        }
+        CHECK(notified == std::set<vm_id>({owner, entry}));
+    }
+    table.tick(t0 + seconds(301), out);
+    CHECK(out.take_peer_messages().empty());
+}
+
+TEST(quarantine, repeats_of_a_notice_change_nothing)
+{
+    const shard_id shard = shard_id_of("search", "s0");
+    const quarantine_notice first{poison, 1, seconds(300), shard};
+    const quarantine_notice again{poison, 1, seconds(298), shard};
+    table.receive(owner, first, t0, out);
+    table.record_completion(poison, shard);
+    table.receive(owner, again, t0 + seconds(2), out);
+    crash("s0-r1", {poison}, t0 + milliseconds(2100));
+    CHECK(refused(poison, t0 + milliseconds(2100)));
+    table.receive(owner, {innocent, 1, seconds(300), shard}, t0, out);
+    table.record_completion(innocent, shard);
+    table.receive(owner, {innocent, 1, seconds(299), shard},
+                  t0 + milliseconds(990), out);
+    crash("s0-r1", {innocent}, t0 + milliseconds(995));
+    CHECK(limited(innocent, t0 + milliseconds(995)));
+}
+
+TEST(quarantine, a_cleared_suspect_is_not_reported_again)
+{
+    crash("s0-r0", {innocent}, t0);
+    table.record_full_completion(innocent, out);
+    out.take_peer_messages();
+    table.tick(t0 + seconds(2), out);
+    CHECK(out.take_peer_messages().empty());
+}
+
+TEST(quarantine, repeats_are_spread_over_ticks)
+{
+    for (std::uint64_t print = 10; print < 60; ++print) {
+        crash("s0-r0", {fingerprint(print)}, t0);
+    }
+    out.take_peer_messages();
+    std::size_t sent = 0;
+    for (int i = 0; i < 4; ++i) {
+        table.tick(t0 + seconds(2), out);
+        const std::size_t now_sent = out.take_peer_messages().size();
+        CHECK(now_sent <= 34);
+        sent += now_sent;
+    }
+    CHECK_EQUAL(100U, sent);
+}
+
 TEST(quarantine, refusal_goes_to_every_vm_a_few_at_a_time)
 {
     fakes::sample_shape shape;
