LIMIT: VMs that restart out of sight of others use a part of a server's limit

Cause, found while looking for the class of QUOTA elsewhere: VMs on one side of a partition that restarted divided a server's whole limit, beside the other side. Test: server_limits_test, vms_that_restart_out_of_sight_use_a_part_of_the_limit; failed before. Not changed: the allowance of extra sends is divided the same way, but starts at a fifth after a restart and holds 0.8 at most; connections are limited by servers.

--- a/src/systems/servers/server_limits.cpp
+++ b/src/systems/servers/server_limits.cpp
@@ -151,7 +151,8 @@
         !is_sharer(server, s, static_cast<std::size_t>(sharers))) {
         return std::chrono::duration_cast<duration>(longest);
     }
-    const std::chrono::duration<double> spacing(sharers / per_second);
+    const std::chrono::duration<double> spacing(
+        sharers / (per_second * m_members.usable_share(now)));
     return std::chrono::duration_cast<duration>(std::min(spacing, longest));
 }
 
--- a/src/tests/server_limits_test.cpp
+++ b/src/tests/server_limits_test.cpp
@@ -20,17 +20,18 @@
            std::to_string(vm % 200 + 1) + ":7000";
 }
 
-/** One VM that knows the whole fleet. */
+/** One VM that knows the whole fleet, or that part which restarted with it. */
 struct limiting_vm
 {
     limiting_vm(std::size_t self, std::size_t vms, const server_table& servers,
-                random_source& random, time_point now)
+                random_source& random, time_point now, bool restarted = false)
         : members({address(self), {address(0), address(1)}}, random, now),
           limits(servers, members)
     {
         gateway_datagram datagram;
         datagram.fleet_size = static_cast<std::uint32_t>(vms);
         datagram.settled = true;
+        datagram.fleet_unconfirmed = restarted;
         for (std::size_t vm = 0; vm < vms; ++vm) {
             if (vm != self) {
                 members.received(address(vm), datagram, now);
@@ -205,6 +206,34 @@
     CHECK(peer.limits.opens_at(server, now) <= now + 50ms);
 }
 
+// Half of a fleet restarts behind a partition; the other half goes on.
+TEST(server_limits, vms_that_restart_out_of_sight_use_a_part_of_the_limit)
+{
+    constexpr double limit = 100.0;
+    std::vector<std::unique_ptr<limiting_vm>> fleet;
+    for (std::size_t i = 0; i < 8; ++i) {
+        const bool restarted = i < 4;
+        fleet.push_back(std::make_unique<limiting_vm>(
+            i, restarted ? 4 : 8, servers, random, now, restarted));
+    }
+    now += 2s;
+    std::size_t sent = 0;
+    const time_point start = now;
+    for (; now < start + 4s; now += 1ms) {
+        for (const auto& one : fleet) {
+            if (now == start) {
+                one->limits.observe(server, limit, now, now, out);
+            }
+            if (one->limits.opens_at(server, now) <= now) {
+                one->limits.record_sent(server, now);
+                ++sent;
+            }
+        }
+    }
+    CHECK(static_cast<double>(sent) <= 1.25 * 4.0 * limit);
+    CHECK(static_cast<double>(sent) >= 4.0 * limit);
+}
+
 TEST(server_limits, a_server_that_starts_anew_has_no_limit)
 {
     name_limit(1.0, 5ms);
