--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -57,11 +57,12 @@
 
 call_sender::call_sender(const gateway_settings& settings,
                          server_table& servers, server_choice& choice,
-                         server_limits& limits, server_suspicions& suspicions,
-                         relay_peers& peers)
+                         server_limits& limits, cold_limits& cold,
+                         server_suspicions& suspicions, relay_peers& peers)
     : m_settings(settings), m_servers(servers), m_choice(choice),
-      m_server_limits(limits), m_suspicions(suspicions), m_relay_peers(peers),
-      m_observer(servers), m_vms(settings.member.assumed_vms),
+      m_server_limits(limits), m_cold_limits(cold), m_suspicions(suspicions),
+      m_relay_peers(peers), m_observer(servers),
+      m_vms(settings.member.assumed_vms),
       m_extra_sends({settings.extra_send_percent, settings.extra_send_allowance,
                      settings.member.origin.first_start},
                     settings.member.assumed_vms)
@@ -121,6 +122,7 @@
                              {}};
     m_observer.sent(server, exchange, now);
     m_server_limits.record_sent(server, now);
+    m_cold_limits.record_sent(row, now);
     c.sends.push_back({exchange, server, now, true, false});
     c.state = call_state::sent;
     out.push_back(start_exchange{exchange, server, row.entry.address,
@@ -212,6 +214,7 @@
     m_overdue.schedule(exchange, now + request.deadline + abandoned_timeout);
     m_observer.sent(server, exchange, now);
     m_server_limits.record_sent(server, now);
+    m_cold_limits.record_sent(row, now);
     out.push_back(start_exchange{
         exchange, server, row.entry.address, row.entry.name, request.workspace,
         request.deadline, request.repeatable, request.outbound});
@@ -328,6 +331,10 @@
         m_observer.answered(row.server, ended.exchange, false, now);
         return;
     }
+    if (failure != nullptr &&
+        failure->fault == exchange_fault::connection_refused) {
+        m_cold_limits.refused(row.server, now, out);
+    }
     m_observer.failed(row.server, ended.exchange, now);
     m_suspicions.found(row.server, suspicion_cause::failed, now, out);
 }
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -62,7 +62,7 @@
 {
 public:
     call_sender(const gateway_settings& settings, server_table& servers,
-                server_choice& choice, server_limits& limits,
+                server_choice& choice, server_limits& limits, cold_limits& cold,
                 server_suspicions& suspicions, relay_peers& peers);
 
     void catalogue_changed(std::shared_ptr<const catalogue> limits);
@@ -138,6 +138,7 @@
     server_table& m_servers;
     server_choice& m_choice;
     server_limits& m_server_limits;
+    cold_limits& m_cold_limits;
     server_suspicions& m_suspicions;
     relay_peers& m_relay_peers;
     server_observer m_observer;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -38,10 +38,11 @@
                  time_point now)
     : m_members(settings.member, random, now), m_rates(m_members),
       m_directory(m_servers), m_server_limits(m_servers, m_members),
-      m_suspicions(m_servers), m_choice(m_servers, m_server_limits, random),
+      m_suspicions(m_servers), m_cold_limits(m_servers, m_members),
+      m_choice(m_servers, m_server_limits, m_cold_limits, random),
       m_relay_peers(m_members, random),
-      m_sender(settings, m_servers, m_choice, m_server_limits, m_suspicions,
-               m_relay_peers),
+      m_sender(settings, m_servers, m_choice, m_server_limits, m_cold_limits,
+               m_suspicions, m_relay_peers),
       m_crash_watch(m_servers, m_quarantine),
       m_admission(m_rates, m_waiting, m_quarantine, m_choice, random),
       m_peers(m_members, incarnation(random.next() | 1U), m_rates,
@@ -82,6 +83,7 @@
         m_directory.drop_unlisted(now);
         m_quarantine.drop_expired(now);
         m_server_limits.drop_expired(now);
+        m_cold_limits.drop_expired(now);
         m_relay_peers.drop_silent(now);
         serve_all_waiting(now, out);
     }
@@ -325,6 +327,7 @@
     m_admission.catalogue_changed(m_settings);
     m_rates.catalogue_changed(m_settings, now);
     m_sender.catalogue_changed(m_settings);
+    m_cold_limits.catalogue_changed(m_settings);
     serve_all_waiting(now, out);
 }
 
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -158,6 +158,7 @@
     server_directory m_directory;
     server_limits m_server_limits;
     server_suspicions m_suspicions;
+    cold_limits m_cold_limits;
     server_choice m_choice;
     waiting_calls m_waiting;
     crash_quarantine m_quarantine;
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -28,8 +28,9 @@
 } // namespace
 
 server_choice::server_choice(const server_table& servers,
-                             const server_limits& limits, random_source& random)
-    : m_servers(servers), m_limits(limits), m_random(random)
+                             const server_limits& limits, cold_limits& cold,
+                             random_source& random)
+    : m_servers(servers), m_limits(limits), m_cold(cold), m_random(random)
 {
 }
 
@@ -115,8 +116,9 @@
 time_point server_choice::opening_of(const server_row& row,
                                      time_point now) const
 {
-    return std::max(
-        {now, row.closed_until, m_limits.opens_at(row.entry.id, now)});
+    return std::max({now, row.closed_until,
+                     m_limits.opens_at(row.entry.id, now),
+                     m_cold.opens_at(row, now)});
 }
 
 // The first candidate is local if there is one: a VM then keeps its connections
--- a/src/systems/servers/server_choice.hpp
+++ b/src/systems/servers/server_choice.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_SYSTEMS_SERVERS_SERVER_CHOICE_HPP
 
 #include "core/random_source.hpp"
+#include "systems/servers/cold_limits.hpp"
 #include "systems/servers/evacuated_data_centres.hpp"
 #include "systems/servers/server_limits.hpp"
 #include "tables/server_table.hpp"
@@ -53,7 +54,7 @@
 {
 public:
     server_choice(const server_table& servers, const server_limits& limits,
-                  random_source& random);
+                  cold_limits& cold, random_source& random);
 
     /** Returns the data centres whose servers get no requests. */
     evacuated_data_centres& evacuations()
@@ -102,6 +103,7 @@
 
     const server_table& m_servers;
     const server_limits& m_limits;
+    cold_limits& m_cold;
     random_source& m_random;
     evacuated_data_centres m_evacuated;
 };
--- a/src/systems/servers/server_limits.cpp
+++ b/src/systems/servers/server_limits.cpp
@@ -45,7 +45,7 @@
 
 server_limits::server_limits(const server_table& servers,
                              const member_directory& members)
-    : m_servers(servers), m_members(members)
+    : m_servers(servers), m_members(members), m_sharers(members)
 {
 }
 
@@ -92,6 +92,7 @@
 void server_limits::forget(backend_server_id server)
 {
     m_states.erase(server);
+    m_sharers.forget(server);
 }
 
 void server_limits::update(backend_server_id server,
@@ -137,38 +138,17 @@
     }
 }
 
-// A VM that does not know the whole fleet may take itself for a sharer where it
-// is none, so it only enquires.
-duration server_limits::interval(backend_server_id server, state& s,
-                                 time_point now) const
+// A VM that shares the limit seldom or not at all asks whether it has ended.
+duration server_limits::interval(backend_server_id server, const state& s,
+                                 time_point now)
 {
     const double per_second = s.per_second.value_or(0.0);
-    const double vms = m_members.fleet_size(now);
-    const std::chrono::duration<double> longest = enquiry_interval * vms;
-    const double sharers = std::min(
-        vms, std::floor(sharers_per_request * per_second + min_sharers));
-    if (per_second <= 0.0 || !m_members.knows_all(now) ||
-        !is_sharer(server, s, static_cast<std::size_t>(sharers))) {
-        return std::chrono::duration_cast<duration>(longest);
-    }
-    const std::chrono::duration<double> spacing(
-        sharers / (per_second * m_members.usable_share(now)));
-    return std::chrono::duration_cast<duration>(std::min(spacing, longest));
-}
-
-// Ranking sorts all VMs, so its result is kept until they or the limit change.
-bool server_limits::is_sharer(backend_server_id server, state& s,
-                              std::size_t sharers) const
-{
-    if (s.ranked_sharers != sharers ||
-        s.ranked_members != m_members.version()) {
-        const auto ranked = m_members.ranked(server.value(), sharers);
-        s.shares = std::find(ranked.begin(), ranked.end(), m_members.self()) !=
-                   ranked.end();
-        s.ranked_sharers = sharers;
-        s.ranked_members = m_members.version();
-    }
-    return s.shares;
+    const auto longest =
+        enquiry_interval * static_cast<std::int64_t>(m_members.fleet_size(now));
+    const auto spacing =
+        m_sharers.spacing(server, per_second,
+                          sharers_per_request * per_second + min_sharers, now);
+    return std::min<duration>(spacing.value_or(longest), longest);
 }
 
 std::vector<server_limit_report> server_limits::take_reports(time_point now)
@@ -219,6 +199,9 @@
         const state& s = it->second;
         const bool over = !s.per_second && now - s.heard_at >= ended_memory;
         const bool gone = m_servers.find(it->first) == nullptr;
+        if (over || gone) {
+            m_sharers.forget(it->first);
+        }
         it = over || gone ? m_states.erase(it) : std::next(it);
     }
 }
--- a/src/systems/servers/server_limits.hpp
+++ b/src/systems/servers/server_limits.hpp
@@ -2,7 +2,7 @@
 #define CRANBERRYWOOD_SYSTEMS_SERVERS_SERVER_LIMITS_HPP
 
 #include "core/gateway_messages.hpp"
-#include "systems/members/member_directory.hpp"
+#include "systems/servers/limit_sharers.hpp"
 #include "tables/server_table.hpp"
 
 #include <optional>
@@ -63,24 +63,19 @@
         /** Limit that was last announced to peers. */
         std::optional<double> announced;
         bool unannounced = false;
-        /** Whether this VM is one of the sharers, and for which of them. */
-        bool shares = false;
-        std::size_t ranked_sharers = 0;
-        std::uint64_t ranked_members = 0;
     };
 
     void update(backend_server_id server, std::optional<double> per_second,
                 time_point heard_at, const std::string& source, time_point now,
                 gateway_commands& out);
     /** Returns the time between two requests of this VM to the server. */
-    duration interval(backend_server_id server, state& s, time_point now) const;
-    bool is_sharer(backend_server_id server, state& s,
-                   std::size_t sharers) const;
+    duration interval(backend_server_id server, const state& s, time_point now);
     server_limit_report report_of(backend_server_id server, const state& s,
                                   time_point now) const;
 
     const server_table& m_servers;
     const member_directory& m_members;
+    limit_sharers m_sharers;
     std::unordered_map<backend_server_id, state> m_states;
     std::size_t m_next_repeated = 0;
 };
--- a/src/tests/server_choice_test.cpp
+++ b/src/tests/server_choice_test.cpp
@@ -13,7 +13,8 @@
     seeded_random random{11};
     member_directory members{{"10.0.0.1:7000", {}}, random, time_point(1h)};
     server_limits limits{servers, members};
-    server_choice choice{servers, limits, random};
+    cold_limits cold_servers{servers, members};
+    server_choice choice{servers, limits, cold_servers, random};
     server_observer observer{servers};
     time_point now{1h};
     const service_id service{7};
--- a/src/tests/server_suspicions_test.cpp
+++ b/src/tests/server_suspicions_test.cpp
@@ -13,7 +13,8 @@
     seeded_random random{5};
     member_directory members{{"10.0.0.1:7000", {}}, random, time_point(1h)};
     server_limits limits{servers, members};
-    server_choice choice{servers, limits, random};
+    cold_limits cold{servers, members};
+    server_choice choice{servers, limits, cold, random};
     server_observer observer{servers};
     server_suspicions suspicions{servers};
     gateway_commands out;
