QUOTA: without a sign of other VMs a part of each rate is held back for 20 s

Cause: all VMs of a soak are killed at times, and 5/8 of each rate were in use for ten minutes after each such restart; callers ask for 0.69 of the rate. Change: if all seeds and data centres were heard from, the part is held back for 20 s, longer than partitions of the users' sheets last; else for ten minutes as before. What it gives up: a partition that lasts longer than 20 s after such a restart.

--- a/src/systems/members/fleet_share.cpp
+++ b/src/systems/members/fleet_share.cpp
@@ -17,6 +17,8 @@
  * not restart, if these are no more than five eighths of the fleet.
  */
 constexpr double restarted_share = (1.0 + allowed_overshoot) / 2.0;
+/** Time for which a share is held back without a sign of other VMs. */
+constexpr duration longest_short_partition = std::chrono::seconds(20);
 
 } // namespace
 
@@ -37,17 +39,22 @@
     }
 }
 
-bool fleet_share::confirmed(time_point now) const
+// Without a sign of other VMs, callers are not refused for longer than a
+// partition of seconds lasts.
+bool fleet_share::confirmed(double heard_seeds, time_point now) const
 {
+    const bool none_missing = heard_seeds >= 1.0 && seen_data_centres() >= 1.0;
+    const duration held =
+        none_missing ? longest_short_partition : member_memory;
     return m_origin.first_start || m_confirmed_by_peer ||
-           now - m_started >= member_memory;
+           now - m_started >= held;
 }
 
 // The overshoot may be used in any case: VMs that did not restart use no more
 // than the whole.
 double fleet_share::usable(double heard_seeds, time_point now) const
 {
-    if (confirmed(now)) {
+    if (confirmed(heard_seeds, now)) {
         return 1.0;
     }
     return std::max(allowed_overshoot, std::min(restarted_share * heard_seeds,
--- a/src/systems/members/fleet_share.hpp
+++ b/src/systems/members/fleet_share.hpp
@@ -23,7 +23,7 @@
  * VMs that restarted together know only each other: in a network partition,
  * VMs that did not restart may still use their slices of the limit. Until a
  * VM with a longer memory confirms the fleet, a part of the limit is left to
- * them; the more, the more seeds and data centres are out of sight.
+ * them; the more, and the longer, if seeds or data centres are out of sight.
  */
 class fleet_share
 {
@@ -34,14 +34,12 @@
     void received(const gateway_datagram& datagram);
 
     /**
-     * Returns whether the known members include all VMs that may hold slices,
-     * provided that this VM knows all members that its peers report.
-     */
-    bool confirmed(time_point now) const;
-    /**
-     * Returns the share, greater than 0 and at most 1, for a VM that has heard
-     * from a part of its seeds, between 0 and 1.
+     * Returns whether the known members count as all VMs that may hold slices,
+     * provided that this VM knows all members that its peers report. It has
+     * heard from a part of its seeds, between 0 and 1.
      */
+    bool confirmed(double heard_seeds, time_point now) const;
+    /** Returns the share, greater than 0 and at most 1. */
     double usable(double heard_seeds, time_point now) const;
 
     data_centre_id data_centre() const
--- a/src/systems/members/member_directory.cpp
+++ b/src/systems/members/member_directory.cpp
@@ -157,7 +157,8 @@
 {
     datagram.fleet_size = static_cast<std::uint32_t>(m_heard.size() + 1);
     datagram.settled = settled(now);
-    datagram.fleet_unconfirmed = !m_share.confirmed(now) || !knows_all(now);
+    datagram.fleet_unconfirmed =
+        !m_share.confirmed(heard_seeds(), now) || !knows_all(now);
     datagram.data_centre = m_share.data_centre();
 }
 
