--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -9,11 +9,10 @@
 #include "core/gateway_settings.hpp"
 #include "core/random_source.hpp"
 #include "core/relay_service.hpp"
-#include "systems/queries/stragglers.hpp"
+#include "core/request_runner.hpp"
 #include "systems/rates/token_waiters.hpp"
 #include "systems/servers/server_suspicions.hpp"
 #include "systems/store/peer_configuration.hpp"
-#include "tables/due_queue.hpp"
 
 namespace cranberrywood {
 
@@ -60,7 +59,7 @@
     /** Returns the number of requests that are not answered yet. */
     std::size_t open_request_count() const
     {
-        return m_requests.size();
+        return m_runner.size();
     }
     /** Returns the VMs known to this one. */
     const member_directory& members() const
@@ -113,8 +112,6 @@
                          gateway_commands& out);
     void refuse(const request_received& asked, const refused_answer& answer,
                 gateway_commands& out);
-    void start_request(std::unique_ptr<open_request> row, time_point now,
-                       gateway_commands& out);
     void wait_for_token(const request_received& asked, workspace_id workspace,
                         time_point now, gateway_commands& out);
     void ask_for_tokens(workspace_id workspace, time_point now,
@@ -122,34 +119,7 @@
     void serve_token_waiters(workspace_id workspace, time_point now,
                              gateway_commands& out);
     void review_token_waiters(time_point now, gateway_commands& out);
-    void start_call(open_request& request, std::uint32_t call,
-                    send_purpose purpose, time_point now,
-                    gateway_commands& out);
-    void apply_result(open_request& request, std::uint32_t call,
-                      const exchange_ended& ended, time_point now,
-                      gateway_commands& out);
-    void retry_call(open_request& request, std::uint32_t call, time_point now,
-                    gateway_commands& out);
-    /** Queues a call until a server takes it, if that may still be useful. */
-    void wait_for_server(open_request& request, std::uint32_t call);
-    /** Starts or ends the held calls of a request, if that is decided. */
-    void review_held_calls(open_request& request, time_point now,
-                           gateway_commands& out);
-    void serve_waiting(service_id service, time_point now,
-                       gateway_commands& out);
-    void serve_all_waiting(time_point now, gateway_commands& out);
-
-    /** Hedges, answers or times out a request; schedules its next review. */
-    void review(caller_token token, time_point now, gateway_commands& out);
-    void review_stragglers(open_request& request, time_point now,
-                           gateway_commands& out);
-    void schedule_review(const open_request& request, time_point now);
     void broadcast_news(time_point now, gateway_commands& out);
-    bool finish_if_decided(open_request& request, time_point now,
-                           gateway_commands& out);
-    void finish(open_request& request, gateway_answer answer, time_point now,
-                gateway_commands& out);
-    open_request* find(caller_token token);
 
     member_directory m_members;
     rate_slices m_rates;
@@ -169,15 +139,12 @@
     gateway_admission m_admission;
     gateway_peers m_peers;
     relay_service m_relays;
+    request_runner m_runner;
     std::uint32_t m_fleet_size = 0;
     /** Share of the limits that the known VMs divide. */
     double m_fleet_share = 1.0;
     std::shared_ptr<const catalogue> m_settings;
     peer_configuration m_peer_configuration;
-    open_requests m_requests;
-    due_queue<caller_token> m_due;
-    /** When servers that wanted no requests take them again. */
-    due_queue<service_id> m_reopenings;
     time_point m_next_sweep;
     time_point m_next_token_review = time_point::max();
 };
