--- a/src/tests/loop/message_framing_test.cpp
+++ b/src/tests/loop/message_framing_test.cpp
@@ -37,18 +37,28 @@
                                       : text.substr(first, last - first + 1);
 }
 
+enum class message_kind : std::uint8_t
+{
+    request,
+    answer,
+};
+
 /**
- * Reads one request by the letter of RFC 9112, without any tolerance; returns
- * none for anything unusual.
+ * Reads one message by the letter of RFC 9112, without any tolerance; returns
+ * none for anything unusual. The bytes are all that come on the connection.
  */
 class strict_reader
 {
 public:
-    explicit strict_reader(std::string_view bytes) : m_bytes(bytes) {}
+    strict_reader(std::string_view bytes, message_kind kind)
+        : m_bytes(bytes), m_kind(kind)
+    {
+    }
 
     std::optional<framed_message> read()
     {
-        if (!line()) {
+        const auto first_line = line();
+        if (!first_line) {
             return std::nullopt;
         }
         std::vector<std::pair<std::string, std::string>> headers;
@@ -83,10 +93,18 @@
                 codings.push_back(lower(trimmed(value)));
             }
         }
+        if (m_kind == message_kind::answer && has_no_body(*first_line)) {
+            return framed_message{"", m_at};
+        }
         return body(lengths, codings);
     }
 
 private:
+    static bool has_no_body(const std::string& status_line)
+    {
+        return status_line.find(" 204 ") != std::string::npos ||
+               status_line.find(" 304 ") != std::string::npos;
+    }
     static bool is_space(char c)
     {
         return c == ' ' || c == '\t';
@@ -152,6 +170,11 @@
                                  codings[0] == "chunked";
             return chunked ? chunks() : std::nullopt;
         }
+        if (lengths.empty() && m_kind == message_kind::answer) {
+            // It ends with its connection.
+            return framed_message{std::string(m_bytes.substr(m_at)),
+                                  m_bytes.size()};
+        }
         if (lengths.empty()) {
             return framed_message{"", m_at};
         }
@@ -195,20 +218,24 @@
     }
 
     std::string_view m_bytes;
+    message_kind m_kind;
     std::size_t m_at = 0;
 };
 
-/** Draws requests whose framing is right, wrong, or anything between. */
-class request_source
+/** Draws messages whose framing is right, wrong, or anything between. */
+class message_source
 {
 public:
-    explicit request_source(std::uint64_t seed) : m_random(seed) {}
+    message_source(std::uint64_t seed, message_kind kind)
+        : m_random(seed), m_kind(kind)
+    {
+    }
 
     std::string stream()
     {
         std::string bytes;
         for (std::uint64_t left = 1 + m_random.below(3); left > 0; --left) {
-            bytes += request();
+            bytes += message();
         }
         return bytes;
     }
@@ -218,9 +245,19 @@
     {
         return texts[m_random.below(texts.size())];
     }
-    std::string request()
+    std::string first_line()
+    {
+        if (m_kind == message_kind::request) {
+            return "POST /a HTTP/1.1\r\nHost: x\r\n";
+        }
+        return "HTTP/1.1 " +
+               one_of(
+                   {"200 OK", "200 OK", "503 Busy", "204 None", "304 Same"}) +
+               "\r\n";
+    }
+    std::string message()
     {
-        std::string head = "POST /a HTTP/1.1\r\nHost: x\r\n";
+        std::string head = first_line();
         const std::string data = "abc\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
         const std::string body = data.substr(0, m_random.below(data.size()));
         for (std::uint64_t left = m_random.below(3); left > 0; --left) {
@@ -280,38 +317,59 @@
     }
 
     seeded_random m_random;
+    message_kind m_kind;
 };
 
-} // namespace
-
-TEST_GROUP(message_framing){};
-
-// UNASKED: a body whose framing was unknown ran as a request of its own.
-TEST(message_framing, what_is_accepted_ends_where_a_strict_reader_ends_it)
+/**
+ * Draws streams and reads their messages; each that is accepted must have the
+ * body and the end that the strict reader finds. Returns how many were.
+ */
+template <bool IsRequest>
+int read_drawn_streams()
 {
+    constexpr message_kind kind =
+        IsRequest ? message_kind::request : message_kind::answer;
     int accepted = 0;
     const bool held = rc::check([&] {
-        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-        request_source source(seed);
+        message_source source(*rc::gen::arbitrary<std::uint64_t>(), kind);
         for (int i = 0; i < fuzzed_streams / 100; ++i) {
             std::string bytes = source.stream();
-            request_reader reader(limits);
+            message_reader<IsRequest> reader(limits);
             read_state state = reader.feed(bytes);
+            // The connection ends behind the last byte.
+            state = IsRequest ? state : reader.feed_end();
             while (state == read_state::complete) {
                 ++accepted;
-                const auto strict = strict_reader(bytes).read();
-                const http_request request = reader.take();
+                const auto strict = strict_reader(bytes, kind).read();
+                const auto message = reader.take();
                 const bool agreed =
-                    strict && request.body() == strict->body &&
+                    strict && message.body() == strict->body &&
                     reader.kept_bytes() == bytes.size() - strict->end;
                 if (!agreed) {
-                    RC_FAIL("read as \"" + request.body() + "\": " + bytes);
+                    RC_FAIL("read as \"" + message.body() + "\": " + bytes);
                 }
                 bytes.erase(0, strict->end);
                 state = reader.resume();
+                state = IsRequest ? state : reader.feed_end();
             }
         }
     });
     CHECK(held);
-    CHECK(accepted > fuzzed_streams / 10);
+    return accepted;
+}
+
+} // namespace
+
+TEST_GROUP(message_framing){};
+
+// UNASKED: a body whose framing was unknown ran as a request of its own.
+TEST(message_framing, a_request_ends_where_a_strict_reader_ends_it)
+{
+    CHECK(read_drawn_streams<true>() > fuzzed_streams / 10);
+}
+
+// MIXED: bytes behind an answer must not become a part of it, or of the next.
+TEST(message_framing, an_answer_ends_where_a_strict_reader_ends_it)
+{
+    CHECK(read_drawn_streams<false>() > fuzzed_streams / 10);
 }
