--- a/src/tests/loop/caller_front_test.cpp
+++ b/src/tests/loop/caller_front_test.cpp
@@ -296,6 +296,28 @@
     CHECK_EQUAL(0, front->connections());
 }
 
+// The window of a caller with a small buffer is closed while it pauses, which
+// the connection must survive: TCP_USER_TIMEOUT counts such time too.
+TEST(caller_front, a_caller_that_pauses_with_a_closed_window_gets_its_answer)
+{
+    constexpr int small_buffer = 2048;
+    constexpr std::size_t largest_answer = 36000;
+    constexpr auto pause = 4s;
+    raw_peer peer(raw_peer::connect_to(port, small_buffer));
+    answer_unread(peer, largest_answer);
+    const auto end = std::chrono::steady_clock::now() + pause;
+    while (std::chrono::steady_clock::now() < end) {
+        io.restart();
+        io.poll();
+        time.step(20ms);
+        front->sweep(time.now());
+        std::this_thread::sleep_for(20ms);
+    }
+    CHECK(
+        run_until(io, [&] { return peer.received().size() > largest_answer; }));
+    CHECK(!peer.ended());
+}
+
 TEST(caller_front, answers_that_are_not_taken_hold_a_bounded_memory)
 {
     front_limits limits;
--- a/src/tests/loop/raw_peer.hpp
+++ b/src/tests/loop/raw_peer.hpp
@@ -68,9 +68,14 @@
     raw_peer(const raw_peer&) = delete;
     raw_peer& operator=(const raw_peer&) = delete;
 
-    static int connect_to(std::uint16_t port)
+    /** Connects; a receive buffer of 0 bytes leaves the system's default. */
+    static int connect_to(std::uint16_t port, int receive_buffer = 0)
     {
         const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        if (receive_buffer > 0) {
+            ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                         sizeof receive_buffer);
+        }
         const sockaddr_in address = loopback(port);
         if (::connect(socket, reinterpret_cast<const sockaddr*>(&address),
                       sizeof address) != 0) {
