explain: a request's way through the logs of several VMs; unanswered calls are named

Found while using it: line 1602 had counts only, so a missing part could not be traced to a server. It now names the first 8 unanswered calls with each send's server, age and state, and whether the request is repeatable and how often it may be sent.

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -345,6 +345,16 @@
     return row == nullptr ? "gone" : row->entry.name;
 }
 
+log_names call_sender::names() const
+{
+    return {[this](service_id id) {
+                const auto& services = m_limits->services();
+                const auto found = services.find(id);
+                return found == services.end() ? "gone" : found->second.name;
+            },
+            [this](backend_server_id id) { return name_of_server(id); }};
+}
+
 void call_sender::abandon(exchange_id exchange, time_point now)
 {
     const auto found = m_exchanges.find(exchange);
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_CORE_CALL_SENDER_HPP
 
 #include "core/gateway_settings.hpp"
+#include "core/request_log.hpp"
 #include "systems/members/relay_peers.hpp"
 #include "systems/queries/extra_send_limits.hpp"
 #include "systems/queries/latency_estimate.hpp"
@@ -112,6 +113,9 @@
     /** Returns the ages at which a send on this route is hedged or suspect. */
     straggler_ages ages_for(const route& terms) const;
 
+    /** Returns names of services and servers for log lines. */
+    log_names names() const;
+
     std::size_t exchanges() const
     {
         return m_exchanges.size();
--- a/src/core/request_log.cpp
+++ b/src/core/request_log.cpp
@@ -2,6 +2,54 @@
 
 namespace cranberrywood {
 
+namespace {
+
+/** Calls and sends in a line; a large query has many. */
+constexpr std::size_t max_logged_calls = 8;
+
+const char* state_of(const service_call& call)
+{
+    switch (call.state) {
+    case call_state::waiting:
+        return call.held ? "held" : "waiting";
+    case call_state::sent:
+        return "sent";
+    case call_state::answered:
+        return "answered";
+    case call_state::failed:
+        return "failed";
+    }
+    return "";
+}
+
+const char* state_of(const call_send& send)
+{
+    if (send.lost) {
+        return "lost";
+    }
+    if (send.unsent) {
+        return "unsent";
+    }
+    if (send.not_run) {
+        return "refused";
+    }
+    return send.open ? "open" : "ended";
+}
+
+std::string describe(const service_call& call, const log_names& names,
+                     time_point now)
+{
+    std::string text = names.service(call.service) + ":" + state_of(call) + "[";
+    for (const call_send& send : call.sends) {
+        text += text.back() == '[' ? "" : ",";
+        text += send.server.is_set() ? names.server(send.server) : "relay";
+        text += "@" + milliseconds_text(now - send.at) + state_of(send);
+    }
+    return text + "]";
+}
+
+} // namespace
+
 std::string milliseconds_text(duration d)
 {
     return std::to_string(
@@ -23,7 +71,26 @@
            " calls=" + std::to_string(request.calls.size()) +
            " answered=" + std::to_string(answered) +
            " waiting=" + std::to_string(waiting) +
-           " sends=" + std::to_string(sends);
+           " sends=" + std::to_string(sends) +
+           " max_sends=" + std::to_string(request.terms->max_sends) +
+           " repeatable=" + (request.terms->repeatable ? "yes" : "no");
+}
+
+std::string describe_unanswered(const open_request& request,
+                                const log_names& names, time_point now)
+{
+    std::string text;
+    std::size_t logged = 0;
+    for (const service_call& call : request.calls) {
+        if (call.state == call_state::answered) {
+            continue;
+        }
+        if (++logged > max_logged_calls) {
+            return text + " more";
+        }
+        text += (text.empty() ? "" : " ") + describe(call, names, now);
+    }
+    return text;
 }
 
 bool should_log_answer(const gateway_answer& answer)
--- a/src/core/request_runner.cpp
+++ b/src/core/request_runner.cpp
@@ -352,7 +352,9 @@
     if (should_log_answer(answer)) {
         out.push_back(gateway_log{
             static_cast<std::uint32_t>(log_code::request_not_served),
-            describe(request, now) + " outcome=" + outcome_of(answer)});
+            describe(request, now) + " outcome=" + outcome_of(answer) +
+                " unanswered=\"" +
+                describe_unanswered(request, m_sender.names(), now) + '"'});
     }
     out.push_back(answer_to_caller{token, std::move(answer)});
     m_due.remove(token);
--- a/src/cranberrywoodctl/main.cpp
+++ b/src/cranberrywoodctl/main.cpp
@@ -2,6 +2,7 @@
 #include "cranberrywoodctl/check_command.hpp"
 #include "cranberrywoodctl/digest_command.hpp"
 #include "cranberrywoodctl/effective_command.hpp"
+#include "cranberrywoodctl/explain_command.hpp"
 #include "cranberrywoodctl/load_command.hpp"
 #include "cranberrywoodctl/lookup_command.hpp"
 #include "cranberrywoodctl/query_command.hpp"
@@ -31,6 +32,7 @@
     {"load", load_command, "send queries at a fixed rate and report"},
     {"status", status_command, "print the state of VMs"},
     {"burn", burn_command, "report the burn of service levels"},
+    {"explain", explain_command, "print what logs say of a request"},
 };
 
 void print_usage(std::ostream& out)
