--- a/src/tests/rate_restart_test.cpp
+++ b/src/tests/rate_restart_test.cpp
@@ -174,8 +174,8 @@
     CHECK(share_given(fleet, shape.rate, 10s) > 0.9);
 }
 
-// After a restart of all VMs nothing tells that no others remain, so callers get
-// five eighths of the rate at first.
+// After a restart of all VMs nothing tells that no others remain, so callers
+// get five eighths of the rate at first.
 TEST(rate_restart, a_fleet_that_restarts_whole_keeps_a_part_back_for_seconds)
 {
     const auto shape = shape_of(8, 3, 130.0);
