metrics of a VM on the users' platform

GET /metrics at the control address tells answers by outcome and reason, the configuration in force, members and the share of limits in use, servers, open and relayed requests, callers, readiness, log events by number and dropped lines. Labels are bounded: no statuses of servers, no numbers of missing parts. Tried by hand: the program alone on loopback, curl of /metrics.

--- a/src/loop/event_log.cpp
+++ b/src/loop/event_log.cpp
@@ -36,6 +36,7 @@
 
 void event_log::write(std::uint32_t code, const std::string& fields)
 {
+    ++m_counts[code];
     m_logger->info("CW{} vm={} {}", code, m_vm, fields);
 }
 
--- a/src/loop/event_log.hpp
+++ b/src/loop/event_log.hpp
@@ -3,6 +3,8 @@
 
 #include "core/log_codes.hpp"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -31,10 +33,22 @@
     /** Writes how many lines were dropped since the last call, if any. */
     void report_dropped();
 
+    /** Returns the number of events written, by event. */
+    const std::map<std::uint32_t, std::uint64_t>& counts() const
+    {
+        return m_counts;
+    }
+    /** Returns the number of lines dropped, as of the last report. */
+    std::size_t lines_dropped() const
+    {
+        return m_dropped;
+    }
+
 private:
     std::string m_vm;
     std::shared_ptr<spdlog::logger> m_logger;
     std::size_t m_dropped = 0;
+    std::map<std::uint32_t, std::uint64_t> m_counts;
 };
 
 } // namespace cranberrywood
--- /dev/null
+++ b/src/loop/gateway_metrics.cpp
@@ -0,0 +1,137 @@
+#include "loop/gateway_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+
+namespace cranberrywood {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+constexpr const char* prefix = "cranberrywood_";
+constexpr unsigned first_failure = 500;
+
+struct answer_labels
+{
+    const char* outcome;
+    const char* reason;
+};
+
+// Neither statuses of servers nor numbers of missing parts are labels, so that
+// their number is bounded.
+answer_labels labels_of(const gateway_answer& answer)
+{
+    struct visitor
+    {
+        answer_labels operator()(const relayed_answer& a) const
+        {
+            return a.message->status < first_failure
+                       ? answer_labels{"served", "relayed"}
+                       : answer_labels{"failed", "server_status"};
+        }
+        answer_labels operator()(const gathered_answer& a) const
+        {
+            return {a.missing == 0 ? "served" : "partial", "gathered"};
+        }
+        answer_labels operator()(const refused_answer& a) const
+        {
+            return {"refused", name_of(a.why)};
+        }
+        answer_labels operator()(const failed_answer& a) const
+        {
+            return {"failed", name_of(a.why)};
+        }
+    };
+    return std::visit(visitor{}, answer);
+}
+
+MetricFamily gauge(const char* name, const char* help, double value)
+{
+    MetricFamily family;
+    family.name = prefix + std::string(name);
+    family.help = help;
+    family.type = MetricType::Gauge;
+    ClientMetric metric;
+    metric.gauge.value = value;
+    family.metric.push_back(metric);
+    return family;
+}
+
+MetricFamily
+event_counters(const std::map<std::uint32_t, std::uint64_t>& events)
+{
+    MetricFamily family;
+    family.name = prefix + std::string("log_events_total");
+    family.help = "Log events written, by number.";
+    family.type = MetricType::Counter;
+    for (const auto& [code, count] : events) {
+        ClientMetric metric;
+        metric.label.push_back({"event", std::to_string(code)});
+        metric.counter.value = static_cast<double>(count);
+        family.metric.push_back(metric);
+    }
+    return family;
+}
+
+MetricFamily dropped_lines(std::size_t count)
+{
+    MetricFamily family;
+    family.name = prefix + std::string("log_lines_dropped_total");
+    family.help = "Log lines dropped because the output was not taken.";
+    family.type = MetricType::Counter;
+    ClientMetric metric;
+    metric.counter.value = static_cast<double>(count);
+    family.metric.push_back(metric);
+    return family;
+}
+
+} // namespace
+
+gateway_metrics::gateway_metrics()
+    : m_answers(prometheus::BuildCounter()
+                    .Name(prefix + std::string("answers_total"))
+                    .Help("Answers to callers, by outcome and reason.")
+                    .Register(m_registry))
+{
+}
+
+void gateway_metrics::answered(const gateway_answer& answer)
+{
+    const answer_labels labels = labels_of(answer);
+    m_answers.Add({{"outcome", labels.outcome}, {"reason", labels.reason}})
+        .Increment();
+}
+
+std::string gateway_metrics::text(const gateway_state& state)
+{
+    std::vector<MetricFamily> families = m_registry.Collect();
+    const auto add = [&](const char* name, const char* help, auto value) {
+        families.push_back(gauge(name, help, static_cast<double>(value)));
+    };
+    add("settings_version", "Version of the configuration in force; 0: none.",
+        state.settings_version);
+    add("vms", "VMs that share the limits of the fleet.", state.vms);
+    add("limits_share",
+        "Share of each fleet-wide limit that the known VMs divide.",
+        state.limits_share);
+    add("backend_servers", "Backend servers known.", state.backend_servers);
+    add("open_requests", "Requests without an answer.", state.open_requests);
+    add("relayed_sends", "Sends that are relayed for other VMs.",
+        state.relayed_sends);
+    add("caller_connections", "Open connections of callers.",
+        state.caller_connections);
+    add("ready", "1 if the balancer may send requests.", state.ready);
+    add("reaches_servers",
+        "1 if requests can reach backend servers, through other VMs if need "
+        "be.",
+        state.reaches_servers);
+    families.push_back(event_counters(state.events));
+    families.push_back(dropped_lines(state.log_lines_dropped));
+    return prometheus::TextSerializer().Serialize(families);
+}
+
+} // namespace cranberrywood
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -25,6 +25,8 @@
 /** Time after which a VM is ready though it found no other. */
 constexpr duration longest_unready = 4s;
 constexpr const char* ready_path = "/ready";
+/** Path of the metrics at the control address. */
+constexpr const char* metrics_path = "/metrics";
 /** Bytes of a request to relay beside the caller's head and body. */
 constexpr std::uint64_t relay_overhead = 4096;
 
@@ -99,6 +101,10 @@
         constexpr unsigned ok = 200;
         return http_answer_text{ok, "", encode(m_store.own_configuration())};
     });
+    m_control_front.serve(metrics_path, [this] {
+        constexpr unsigned ok = 200;
+        return http_answer_text{ok, "", m_metrics.text(state())};
+    });
     m_control_front.serve_calls(
         relay_path,
         [this](caller_token token, const std::string& body) {
@@ -255,6 +261,7 @@
         }
         void operator()(const answer_to_caller& answer) const
         {
+            process.m_metrics.answered(answer.answer);
             process.m_front.answer(
                 answer.token, process.m_adapter.write_answer(answer.answer));
         }
@@ -371,6 +378,24 @@
     sweep();
 }
 
+gateway_state gateway_process::state() const
+{
+    const time_point now = m_clock.now();
+    gateway_state state;
+    state.settings_version = m_gateway.settings_version();
+    state.vms = m_gateway.members().fleet_size(now);
+    state.limits_share = m_gateway.members().usable_share(now);
+    state.backend_servers = m_gateway.server_count();
+    state.open_requests = m_gateway.open_request_count();
+    state.relayed_sends = m_gateway.relayed_count();
+    state.caller_connections = m_front.connections();
+    state.ready = ready();
+    state.reaches_servers = m_gateway.reaches_servers(now);
+    state.log_lines_dropped = m_log.lines_dropped();
+    state.events = m_log.counts();
+    return state;
+}
+
 bool gateway_process::ready() const
 {
     // A VM that does not know the fleet has no tokens for keyed requests.
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -8,6 +8,7 @@
 #include "loop/control_front.hpp"
 #include "loop/event_log.hpp"
 #include "loop/gateway_file.hpp"
+#include "loop/gateway_metrics.hpp"
 #include "loop/loop_lag.hpp"
 #include "loop/peer_socket.hpp"
 #include "loop/relay_links.hpp"
@@ -55,11 +56,13 @@
     void wait_for_signals();
     void begin_stop();
     bool ready() const;
+    gateway_state state() const;
     void settings_changed();
 
     gateway_file m_file;
     const platform_adapter& m_adapter;
     event_log& m_log;
+    gateway_metrics m_metrics;
     boost::asio::io_context m_io;
     boot_clock m_clock;
     loop_context m_loop;
