--- a/src/tests/randomised/trace_checker.cpp
+++ b/src/tests/randomised/trace_checker.cpp
@@ -147,8 +147,8 @@
     }
 
     // A run belongs to an ask that has its body alone, or that alone was
-    // asked shortly before. A VM that is paused reads a request late, so a
-    // request without an answer at that time may also be the cause.
+    // asked shortly before. A VM that is paused reads a request late, so one
+    // that it answers after the run may also be the cause.
     bool is_only_cause(const fakes::caller_record& caller, time_point run) const
     {
         const auto& asks = m_asks.at(caller.request.body);
@@ -156,7 +156,7 @@
             return true;
         }
         const auto recent = [&](const fakes::caller_record& asked) {
-            const bool open = !asked.answer || asked.answered_at > run;
+            const bool open = asked.answer && asked.answered_at > run;
             return asked.asked_at <= run &&
                    (open || asked.asked_at > run - longest_request);
         };
