--- /dev/null
+++ b/src/tests/process/play.hpp
@@ -0,0 +1,48 @@
+#ifndef CRANBERRYWOOD_TESTS_PROCESS_PLAY_HPP
+#define CRANBERRYWOOD_TESTS_PROCESS_PLAY_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranberrywood::tests {
+
+/** What a play is given. */
+struct play_plan
+{
+    std::string program;
+    std::string folder;
+    std::uint32_t seed = 1;
+    unsigned vms = 4;
+    std::chrono::seconds length{30};
+};
+
+/** A promise that was broken, with what was seen. */
+struct finding
+{
+    std::string rule;
+    std::string seen;
+};
+
+/** What a play counted and found. */
+struct play_report
+{
+    std::map<std::string, std::uint64_t> counts;
+    std::vector<finding> findings;
+
+    void check(bool kept, const std::string& rule, const std::string& seen)
+    {
+        if (!kept) {
+            findings.push_back({rule, seen});
+        }
+    }
+};
+
+/** Restarts all VMs while entries of other writers stand in the store. */
+play_report play_foreign_entries(const play_plan& plan);
+
+} // namespace cranberrywood::tests
+
+#endif
