RECOVER: keys of the store are encoded, and a list makes progress or waits

Callers saw: with an entry of another writer in a list of several pages and all processes restarted, no VM became ready and nothing was served.

Cause: the last key of a page went into the target of the next call as it was. The store read another key, or no request at all, and began the page anew. No check noticed that a page brought nothing new: the call was repeated without a pause.

Change: keys are percent-encoded; names that are none name no server, as they go into a header; an item that cannot be read costs only itself; pages without progress and endless lists are failed calls with a pause that grows and a line (1116); log lines hold no control bytes; the store counts as reached while both areas are read.

Ruled out: values that cannot be read (1113 names them, the other items hold), sends to the entry (none).

--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -31,6 +31,7 @@
     store_change_ignored = 1113,
     store_restored = 1114,
     configuration_asked = 1115,
+    store_page_refused = 1116,
     lease_acquired = 1201,
     lease_released = 1202,
     lease_expired = 1203,
--- a/src/loop/event_log.cpp
+++ b/src/loop/event_log.cpp
@@ -1,5 +1,7 @@
 #include "loop/event_log.hpp"
 
+#include "core/log_text.hpp"
+
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -37,7 +39,7 @@
 void event_log::write(std::uint32_t code, const std::string& fields)
 {
     ++m_counts[code];
-    m_logger->info("CW{} vm={} {}", code, m_vm, fields);
+    m_logger->info("CW{} vm={} {}", code, m_vm, log_line_text(fields));
 }
 
 void event_log::report_dropped()
--- a/src/loop/store_reader.cpp
+++ b/src/loop/store_reader.cpp
@@ -106,12 +106,12 @@
         }
         return;
     }
-    const auto followed =
+    const page_result followed =
         m_follower.handle_page(std::move(std::get<store_page>(page)), now);
-    if (followed) {
-        m_listener.store_read(m_area, *followed);
+    if (const auto* refused = std::get_if<refused_page>(&followed)) {
+        m_listener.page_refused(m_area, *refused);
     } else {
-        m_listener.store_failed(m_area, "an answer of an earlier era");
+        m_listener.store_read(m_area, std::get<followed_page>(followed));
     }
 }
 
--- a/src/loop/store_reader.hpp
+++ b/src/loop/store_reader.hpp
@@ -15,6 +15,8 @@
     virtual void store_read(store_area area, const followed_page& page) = 0;
     /** A call failed for a reason; successes end the failure. */
     virtual void store_failed(store_area area, const std::string& why) = 0;
+    /** A call was answered with a page that cannot be used. */
+    virtual void page_refused(store_area area, const refused_page& page) = 0;
 };
 
 /** Makes the calls that a store follower decides on. */
--- a/src/loop/store_source.cpp
+++ b/src/loop/store_source.cpp
@@ -1,6 +1,7 @@
 #include "loop/store_source.hpp"
 
 #include "core/log_codes.hpp"
+#include "core/log_text.hpp"
 #include "wire/gateway_codec.hpp"
 
 namespace cranberrywood {
@@ -50,7 +51,9 @@
 
 void store_source::store_read(store_area area, const followed_page& page)
 {
-    contact_changed(true, "");
+    if (reads_all()) {
+        contact_changed(true, "");
+    }
     if (page.whole) {
         m_log.write(log_code::store_listed,
                     std::string("area=") + name_of(area) +
@@ -77,10 +80,11 @@
     }
     for (const ignored_change& change : update.ignored) {
         m_log.write(log_code::store_change_ignored,
-                    "key=" + change.key + " why=" + name_of(change.why) +
+                    "key=" + log_text(change.key) +
+                        " why=" + name_of(change.why) +
                         " position=" + to_string(change.position) +
-                        " known=" + to_string(change.known) + " details=\"" +
-                        change.details + '"');
+                        " known=" + to_string(change.known) +
+                        " details=" + log_text(change.details));
     }
     for (const gateway_event& event : update.events) {
         m_handler(event);
@@ -160,11 +164,28 @@
     m_readers.store_failed(m_loop.time.now());
 }
 
+// The store answers, but this VM does not know its items.
+void store_source::page_refused(store_area area, const refused_page& page)
+{
+    m_log.write(log_code::store_page_refused,
+                std::string("area=") + name_of(area) + " why=" +
+                    name_of(page.why) + " after=" + log_text(page.after_key) +
+                    " items=" + std::to_string(page.items));
+    store_failed(area, std::string("page refused: ") + name_of(page.why));
+}
+
+bool store_source::reads_all() const
+{
+    return m_settings_reader.follower().in_contact() &&
+           m_servers_reader.follower().in_contact();
+}
+
 void store_source::contact_changed(bool reachable, const std::string& why)
 {
-    if (reachable == m_store_contact) {
+    if (reachable == m_store_contact && m_contact_logged) {
         return;
     }
+    m_contact_logged = true;
     m_store_contact = reachable;
     m_contact_since = m_loop.time.now();
     if (reachable) {
--- a/src/loop/store_source.hpp
+++ b/src/loop/store_source.hpp
@@ -58,6 +58,7 @@
 
     void store_read(store_area area, const followed_page& page) override;
     void store_failed(store_area area, const std::string& why) override;
+    void page_refused(store_area area, const refused_page& page) override;
 
 private:
     void choose_store_source();
@@ -70,6 +71,8 @@
     void followed_update(const mirror_update& update);
     void reader_failed(reader_fault fault, const std::string& why);
     void contact_changed(bool reachable, const std::string& why);
+    /** Returns whether both areas of the store are read. */
+    bool reads_all() const;
 
     loop_context& m_loop;
     const platform_adapter& m_adapter;
@@ -90,6 +93,8 @@
     std::string m_followed;
     bool m_reading_store = false;
     bool m_store_contact = false;
+    /** Contact, or its lack, was logged since the start. */
+    bool m_contact_logged = false;
     time_point m_contact_since;
 };
 
--- a/src/systems/store/store_follower.hpp
+++ b/src/systems/store/store_follower.hpp
@@ -4,7 +4,9 @@
 #include "core/random_source.hpp"
 #include "systems/store/store_messages.hpp"
 
-#include <optional>
+#include <string>
+#include <unordered_set>
+#include <variant>
 #include <vector>
 
 namespace cranberrywood {
@@ -19,6 +21,30 @@
     store_position at;
 };
 
+/** Why a page was not used. */
+enum class page_fault : std::uint8_t
+{
+    earlier_era,
+    /** A page of a list brought no item that the pages before lack. */
+    no_progress,
+    /** The list has more items than any deployment needs. */
+    too_long,
+};
+
+const char* name_of(page_fault why);
+
+/** A page that counts as a failed call. */
+struct refused_page
+{
+    page_fault why = page_fault::no_progress;
+    /** Key after which the page was to begin; empty for a first page. */
+    std::string after_key;
+    /** Items of the list that were read before. */
+    std::size_t items = 0;
+};
+
+using page_result = std::variant<followed_page, refused_page>;
+
 /**
  * Selects the next store call for one area: lists the area once, then watches
  * for changes, and lists again when the store has discarded the revision to
@@ -38,10 +64,9 @@
 
     /**
      * Handles a page. Returns its changes; those of a list are returned once
-     * its last page has arrived. A page of an earlier era counts as a failed
-     * call and gives nothing.
+     * its last page has arrived. A refused page counts as a failed call.
      */
-    std::optional<followed_page> handle_page(store_page page, time_point now);
+    page_result handle_page(store_page page, time_point now);
 
     /** Makes the next call a list; needed after calls were suspended. */
     void restart();
@@ -50,8 +75,8 @@
     void failed(store_fault fault, time_point now);
 
     /**
-     * Returns whether the last call succeeded; history_lost does not count as
-     * a failure.
+     * Returns whether the last list or watch succeeded; history_lost does not
+     * count as a failure.
      */
     bool in_contact() const
     {
@@ -64,7 +89,10 @@
     }
 
 private:
-    followed_page handle_list_page(store_page page, time_point now);
+    page_result handle_list_page(store_page page, time_point now);
+    refused_page refuse(page_fault why, time_point now);
+    void list_again(time_point now);
+    void pause_after_failure(std::uint32_t failures, time_point now);
 
     duration m_pause;
     /** Latest era that a page has named. */
@@ -73,11 +101,15 @@
     bool m_listed = false;
     bool m_in_contact = false;
     std::uint32_t m_failures = 0;
+    /** Lists that were begun since a watch last returned a page. */
+    std::uint32_t m_relists = 0;
+    time_point m_watch_began;
     store_position m_position;
     /** Position of the first page of the list in progress. */
     store_position m_list_position;
     std::string m_after_key;
     std::vector<store_change> m_listed_items;
+    std::unordered_set<std::string> m_listed_keys;
     time_point m_next_call_time;
 };
 
--- a/src/tests/platform/store_codec_test.cpp
+++ b/src/tests/platform/store_codec_test.cpp
@@ -52,6 +52,8 @@
         {"\"sequence\":4", "\"sequence\":\"4\""},
         {"\"sequence\":4", "\"sequence\":-4"},
         {"\"max_concurrency\":2", "\"max_concurrency\":2.5"},
+        {"\"max_concurrency\":2", "\"max_concurrency\":0"},
+        {"\"max_concurrency\":2", "\"max_concurrency\":4294967298"},
         {"\"cold_remaining_ms\":250", "\"cold_remaining_ms\":\"x\""},
         {"1767522870000", "1767522870000.5"},
         {"{", "["},
@@ -123,3 +125,85 @@
     CHECK(!read_store_page("{}", store_era()));
     CHECK(!read_store_page("no json", store_era()));
 }
+
+// RECOVER: names of other writers; the name of a server goes into a header.
+TEST(store_codec, entries_with_names_of_other_writers_name_no_server)
+{
+    for (const std::string name :
+         {"", "a&b", "a+b", "a#b", "a%b", "a%41", "a b", "a=b", "a?b", "a/b",
+          "a\"b", "a\r\nX: y", "a\x01", "a\x7f", "a\xc3\xa9", "a\xff"}) {
+        CHECK_TEXT(std::holds_alternative<unreadable_item>(
+                       read_store_value("servers/" + name, good_entry)),
+                   name.c_str());
+    }
+    CHECK(std::holds_alternative<unreadable_item>(
+        read_store_value("servers/" + std::string(200, 'a'), good_entry)));
+    CHECK(std::holds_alternative<unreadable_item>(
+        read_store_value(std::string("servers/a\0b", 11), good_entry)));
+    CHECK(std::holds_alternative<backend_server_entry>(
+        read_store_value("servers/i-7F.a_1:2", good_entry)));
+}
+
+TEST(store_codec, times_out_of_range_are_cut)
+{
+    const auto cold = [](const char* ms) {
+        const auto value = read_store_value(
+            "servers/i-1",
+            replaced(good_entry, "\"cold_remaining_ms\":250",
+                     std::string("\"cold_remaining_ms\":") + ms));
+        return std::get<backend_server_entry>(value).cold_remaining;
+    };
+    CHECK(cold("1e300") == duration(24h));
+    CHECK(cold("-5") == duration(0));
+}
+
+// RECOVER: one bad item must not hide the other items of its page.
+TEST(store_codec, an_item_that_cannot_be_read_costs_only_itself)
+{
+    const std::string good =
+        R"({"key":"op/evacuate/z","value":"e30=","revision":3})";
+    const std::string odd_items[] = {
+        "7",
+        "null",
+        "[]",
+        "{}",
+        R"({"key":7,"value":"e30=","revision":3})",
+        R"({"value":"e30=","revision":3})",
+        R"({"key":"servers/a","revision":3})",
+        R"({"key":"servers/a","value":7,"revision":3})",
+        R"({"key":"servers/a","value":null,"revision":3})",
+        R"({"key":"servers/a","value":"e30=","revision":"3"})",
+        R"({"key":"servers/a","value":"e30=","revision":-3})",
+        R"({"key":"servers/a","value":"e30="})",
+        "{\"key\":\"servers/\xc3\",\"value\":\"e30=\",\"revision\":3}",
+        "{\"key\":\"servers/\xff\xfe\",\"value\":\"e30=\",\"revision\":3}",
+        R"({"key":"servers/\udcc3x","value":"e30=","revision":3})",
+        R"({"key":"servers/\ud83d","value":"e30=","revision":3})",
+        R"({"key":"servers/\\\\\ud83d\ud83d","value":"e30=","revision":3})",
+    };
+    for (const std::string& odd : odd_items) {
+        for (const char* list : {"items", "events"}) {
+            const auto page = read_store_page(
+                std::string("{\"") + list + "\":[" + odd + "," + good + "," +
+                    odd + R"(],"store_revision":9})",
+                store_era(1));
+            CHECK_TEXT(page, odd.c_str());
+            CHECK_EQUAL(3U, page->changes.size());
+            CHECK(std::holds_alternative<unreadable_item>(
+                page->changes[0].value));
+            CHECK(page->changes[0].bytes.empty());
+            CHECK(std::holds_alternative<evacuated_data_centre>(
+                page->changes[1].value));
+        }
+    }
+}
+
+TEST(store_codec, pairs_of_surrogates_are_kept)
+{
+    const auto page = read_store_page(
+        "{\"items\":[{\"key\":\"servers/\\ud83d\\ude00\\ud83d\xff\","
+        "\"value\":\"\",\"revision\":3}],\"store_revision\":9}",
+        store_era(1));
+    STRCMP_EQUAL("servers/\xf0\x9f\x98\x80\xef\xbf\xbd\xef\xbf\xbd",
+                 page->changes[0].key.c_str());
+}
--- a/src/tests/process/foreign_entries.cpp
+++ b/src/tests/process/foreign_entries.cpp
@@ -45,6 +45,7 @@
         {"delete byte", "servers/i-desk0\x7fx"},
         {"letters beyond ASCII", "servers/i-desk0\xc3\xa9"},
         {"byte that is not UTF-8", "servers/i-desk0\xc3"},
+        {"greatest byte", "servers/i-desk0\xff"},
         {"no name", "servers/"},
         {"longest name", "servers/i-desk0" + std::string(185, '&')},
         {"operator's key", "op/evacuate/x&y z"},
@@ -140,6 +141,12 @@
         restart_and_check(entry.name, 1);
         platform.store().remove(entry.key);
     }
+    // Readable, with the address of a server that has another name.
+    for (const char* key : {"servers/i-desk0&copy", "servers/i-copy"}) {
+        platform.store().put(key, platform.proper_entry());
+        restart_and_check(key, 1);
+        platform.store().remove(key);
+    }
     for (const foreign_entry& entry : foreign_entries()) {
         platform.store().put(entry.key, "{}");
     }
--- a/src/tests/process/standin_platform.cpp
+++ b/src/tests/process/standin_platform.cpp
@@ -80,23 +80,35 @@
     m_store->put("op/config", configuration.dump());
 }
 
+std::string standin_platform::entry_of(const std::string& service,
+                                       std::uint16_t port) const
+{
+    const json entry = {{"service", service},
+                        {"address", m_server_host + ":" + std::to_string(port)},
+                        {"zone", "dc-a"},
+                        {"version", "v1"},
+                        {"max_concurrency", 100},
+                        {"state", "ready"},
+                        {"cold_remaining_ms", 0},
+                        {"sequence", 1},
+                        {"born", 1767522870000}};
+    return entry.dump();
+}
+
+std::string standin_platform::proper_entry() const
+{
+    return entry_of("desk", m_desk.front()->port());
+}
+
 void standin_platform::write_entries()
 {
-    for (const auto* servers : {&m_desk, &m_odd}) {
-        for (const auto& server : *servers) {
-            const json entry = {
-                {"service", servers == &m_desk ? "desk" : "odd"},
-                {"address",
-                 m_server_host + ":" + std::to_string(server->port())},
-                {"zone", "dc-a"},
-                {"version", "v1"},
-                {"max_concurrency", 100},
-                {"state", "ready"},
-                {"cold_remaining_ms", 0},
-                {"sequence", 1},
-                {"born", 1767522870000}};
-            m_store->put("servers/" + server->name(), entry.dump());
-        }
+    for (const auto& server : m_desk) {
+        m_store->put("servers/" + server->name(),
+                     entry_of("desk", server->port()));
+    }
+    for (const auto& server : m_odd) {
+        m_store->put("servers/" + server->name(),
+                     entry_of("odd", server->port()));
     }
 }
 
--- a/src/tests/process/standin_platform.hpp
+++ b/src/tests/process/standin_platform.hpp
@@ -50,11 +50,14 @@
     /** Waits until as many VMs are ready; returns whether they were. */
     bool wait_ready(std::size_t vms, std::chrono::milliseconds most) const;
     std::size_t ready_vms() const;
+    /** Returns an entry as the first server of the service `desk` writes it. */
+    std::string proper_entry() const;
     std::vector<caller_target> targets() const;
 
 private:
     void write_configuration();
     void write_entries();
+    std::string entry_of(const std::string& service, std::uint16_t port) const;
 
     exchange_record m_record;
     std::unique_ptr<standin_store> m_store;
--- a/src/tests/process/standin_server.cpp
+++ b/src/tests/process/standin_server.cpp
@@ -62,6 +62,15 @@
             header_of(head, "Request-Id"),
             head.substr(head.find(' ') + 1, head.find(' ', head.find(' ') + 1) -
                                                 head.find(' ') - 1)};
+        const std::string meant = header_of(head, "Target-Instance");
+        if (meant != m_name) {
+            connection.write(
+                "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " +
+                request.id +
+                "\r\nNot-Executed: 1\r\nContent-Length: "
+                "0\r\n\r\n");
+            continue;
+        }
         m_record.arrived(request.id, m_name);
         const server_reaction reaction = m_react(m_name, request);
         const auto until = std::chrono::steady_clock::now() + reaction.work;
--- a/src/tests/restored_store_test.cpp
+++ b/src/tests/restored_store_test.cpp
@@ -47,10 +47,10 @@
                 follower.failed(*fault, now);
                 continue;
             }
-            const auto page =
-                follower.handle_page(std::get<store_page>(answer), now);
-            m_mirror.apply(areas[i], *page);
-            apply(areas[i], *page);
+            const auto page = std::get<followed_page>(
+                follower.handle_page(std::get<store_page>(answer), now));
+            m_mirror.apply(areas[i], page);
+            apply(areas[i], page);
         }
     }
 
