RECOVER: requests to a VM that has just started aren't taken for late

Callers saw: /ready said 200, but for some 0.25 s each request was refused, no_server.

Cause: the loop's lag is read off its timers. The first one is planned when it is overdue since the clock's origin, so that the lag was the machine's time since boot, and each request's deadline had passed when it was read.

Change: a timer is late since it was due or planned, whichever is later.

--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -286,12 +286,13 @@
         return;
     }
     m_wakeup = next;
-    m_timer.expires_after(*next - m_clock.now());
+    m_wakeup_planned = m_clock.now();
+    m_timer.expires_after(*next - m_wakeup_planned);
     m_timer.async_wait([this](const error_code& error) {
         if (error) {
             return;
         }
-        m_lag.observe(*m_wakeup, m_clock.now());
+        m_lag.observe(m_wakeup_planned, *m_wakeup, m_clock.now());
         m_wakeup.reset();
         carry_out(m_gateway.tick(m_clock.now()));
         plan_wakeup();
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -80,6 +80,7 @@
     boost::asio::steady_timer m_sweep_timer;
     boost::asio::signal_set m_signals;
     std::optional<time_point> m_wakeup;
+    time_point m_wakeup_planned;
     loop_lag m_lag;
     std::optional<time_point> m_stopping_since;
     std::uint64_t m_version = 0;
--- a/src/loop/loop_lag.cpp
+++ b/src/loop/loop_lag.cpp
@@ -1,5 +1,7 @@
 #include "loop/loop_lag.hpp"
 
+#include <algorithm>
+
 namespace cranberrywood {
 
 namespace {
@@ -13,9 +15,9 @@
 
 } // namespace
 
-void loop_lag::observe(time_point due, time_point ran)
+void loop_lag::observe(time_point planned, time_point due, time_point ran)
 {
-    const duration late = ran - due;
+    const duration late = ran - std::max(planned, due);
     if (late < at(ran)) {
         return;
     }
--- a/src/loop/loop_lag.hpp
+++ b/src/loop/loop_lag.hpp
@@ -13,8 +13,11 @@
 class loop_lag
 {
 public:
-    /** A timer that was due at a time was run. */
-    void observe(time_point due, time_point ran);
+    /**
+     * A timer that was due at a time was run. A timer may be planned when it is
+     * overdue already, which says nothing of the loop.
+     */
+    void observe(time_point planned, time_point due, time_point ran);
 
     /** Returns the lag that events of this moment may have had. */
     duration at(time_point now) const;
