--- a/src/tests/process/play.hpp
+++ b/src/tests/process/play.hpp
@@ -40,6 +40,8 @@
     }
 };
 
+/** Stops VMs one after the other, also overlapping, while callers go on. */
+play_report play_planned_stops(const play_plan& plan);
 /** Restarts all VMs while entries of other writers stand in the store. */
 play_report play_foreign_entries(const play_plan& plan);
 
--- a/src/tests/process/process_soak.cpp
+++ b/src/tests/process/process_soak.cpp
@@ -25,6 +25,7 @@
 {
     static const std::map<std::string, play> all = {
         {"foreign_entries", play_foreign_entries},
+        {"planned_stops", play_planned_stops},
     };
     return all;
 }
