LOST: a VM that stops passes nothing on whose answer cannot come

Callers saw: around SIGTERM, requests that had been passed on to a server ended with a closed connection.

Cause: a stop had an end and no time from which it takes no more. The listener stayed open, each new connection kept the process from ending early, and requests were read and sent until the process ended at 5.7 s and cut them.

Change: from 2.6 s on the VM takes no connection, ends idle ones and refuses at once (503, vm_stops) what may outlast it; the deadlines of all open requests are moved to 5.3 s, so that each is answered truthfully and logged with its servers; what waits in the listen queue is accepted, and what came behind a request is answered.

Ruled out: requests that cross the closing of idle connections (no cut at 2.6 s).

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -246,10 +246,12 @@
     }
 }
 
-void gateway::on(const vm_leaving& /*leaving*/, time_point now,
+void gateway::on(const vm_leaving& leaving, time_point now,
                  gateway_commands& out)
 {
+    m_admission.leaving(leaving);
     m_relays.leaving(now, out);
+    m_runner.answer_all_by(leaving.answer_by, now, out);
 }
 
 void gateway::on(const relay_requested& asked, time_point now,
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -51,6 +51,22 @@
     m_settings = std::move(settings);
 }
 
+void gateway_admission::leaving(const vm_leaving& terms)
+{
+    m_leaving = terms;
+}
+
+// Until the balancer sends its callers elsewhere, requests are served that may
+// take longer than the VM has: most do not.
+bool gateway_admission::outlasts_vm(open_request& request, time_point now) const
+{
+    if (request.deadline <= m_leaving.answer_by) {
+        return false;
+    }
+    request.limit_deadline(m_leaving.answer_by);
+    return now >= std::min(m_leaving.refuse_from, m_leaving.answer_by);
+}
+
 admission_result gateway_admission::admit(const request_received& asked,
                                           time_point now)
 {
@@ -72,6 +88,9 @@
     request->answer_at = asked.arrived + terms->target_latency -
                          std::min(asked.network_time + answer_write_time,
                                   terms->target_latency / 2);
+    if (outlasts_vm(*request, now)) {
+        return refused_answer{refusal_reason::vm_stops, min_retry_after};
+    }
     if (!terms->open && m_settings->has_workspaces()) {
         const workspace_entry* workspace =
             m_settings->find_workspace(asked.key);
--- a/src/core/gateway_admission.hpp
+++ b/src/core/gateway_admission.hpp
@@ -38,10 +38,15 @@
 
     void catalogue_changed(std::shared_ptr<const catalogue> settings);
 
+    /** This VM stops; requests are limited to the time that it has left. */
+    void leaving(const vm_leaving& terms);
+
     /** Returns the admitted request, or why it was not admitted. */
     admission_result admit(const request_received& asked, time_point now);
 
 private:
+    /** Returns whether the request may outlast this VM; limits it if not. */
+    bool outlasts_vm(open_request& request, time_point now) const;
     std::optional<duration> excess_wait(const open_request& request,
                                         time_point now);
     /** Returns when enough servers take requests, if that is too late. */
@@ -55,6 +60,7 @@
     const server_choice& m_choice;
     random_source& m_random;
     std::shared_ptr<const catalogue> m_settings;
+    vm_leaving m_leaving;
 };
 
 } // namespace cranberrywood
--- a/src/core/gateway_messages.cpp
+++ b/src/core/gateway_messages.cpp
@@ -19,6 +19,8 @@
         return "no_server";
     case refusal_reason::crashes_servers:
         return "crashes_servers";
+    case refusal_reason::vm_stops:
+        return "vm_stops";
     }
     return "unknown";
 }
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -138,6 +138,13 @@
 /** This VM has begun to stop: it relays nothing more for peers. */
 struct vm_leaving
 {
+    /**
+     * From then on, a request is refused if it may take until after
+     * `answer_by`.
+     */
+    time_point refuse_from = time_point::max();
+    /** Time by which all requests are answered. */
+    time_point answer_by = time_point::max();
 };
 
 /** A peer no longer needs the answer to an exchange that it asked for. */
@@ -285,6 +292,8 @@
     overloaded,
     no_server,
     crashes_servers,
+    /** The VM stops before the request would be answered. */
+    vm_stops,
 };
 
 /** The request was not run and will not be. */
--- a/src/core/request_log.cpp
+++ b/src/core/request_log.cpp
@@ -73,7 +73,8 @@
            " waiting=" + std::to_string(waiting) +
            " sends=" + std::to_string(sends) +
            " max_sends=" + std::to_string(request.terms->max_sends) +
-           " repeatable=" + (request.terms->repeatable ? "yes" : "no");
+           " repeatable=" + (request.terms->repeatable ? "yes" : "no") +
+           (request.limited_by_stop ? " limited_by=vm_stop" : "");
 }
 
 std::string describe_unanswered(const open_request& request,
--- a/src/core/request_runner.cpp
+++ b/src/core/request_runner.cpp
@@ -72,6 +72,21 @@
     m_requests.erase(token);
 }
 
+void request_runner::answer_all_by(time_point latest, time_point now,
+                                   gateway_commands& out)
+{
+    std::vector<caller_token> limited;
+    for (const auto& [token, request] : m_requests) {
+        if (latest < request->deadline) {
+            request->limit_deadline(latest);
+            limited.push_back(token);
+        }
+    }
+    for (const caller_token token : limited) {
+        review(token, now, out);
+    }
+}
+
 void request_runner::exchange_ended(const exchange_row& row,
                                     const cranberrywood::exchange_ended& ended,
                                     time_point now, gateway_commands& out)
--- a/src/core/request_runner.hpp
+++ b/src/core/request_runner.hpp
@@ -31,6 +31,9 @@
                gateway_commands& out);
     /** Cancels the request of a caller that has left. */
     void caller_left(caller_token token, time_point now, gateway_commands& out);
+    /** Answers every open request by a time at the latest. */
+    void answer_all_by(time_point latest, time_point now,
+                       gateway_commands& out);
     /** Applies the end of an exchange to its request, if one still needs it. */
     void exchange_ended(const exchange_row& row, const exchange_ended& ended,
                         time_point now, gateway_commands& out);
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds max_stall{15000};
 /** HTTP/1.1 as Beast writes it. */
 constexpr unsigned http_1_1 = 11;
+/** Age up to which a connection without a request is not closed as idle. */
+constexpr duration fresh_age = 250ms;
 
 unsigned status_of(read_state state)
 {
@@ -140,7 +142,10 @@
                                time_point now)
 {
     m_token = caller_token();
-    const bool ends = close || !m_keep_alive;
+    // A request that came behind this one was read already: it is answered.
+    const bool more =
+        m_reader.state() != read_state::empty || m_reader.kept_bytes() > 0;
+    const bool ends = (close && !more) || !m_keep_alive;
     write(text, ends);
     if (ends) {
         linger();
@@ -242,9 +247,11 @@
     m_stream->close();
 }
 
-void caller_connection::close_if_idle()
+// The request of a connection that was just set up is on its way.
+void caller_connection::close_if_idle(time_point now)
 {
-    if (m_phase == phase::reading && m_reader.state() == read_state::empty) {
+    if (m_phase == phase::reading && m_reader.state() == read_state::empty &&
+        now - m_since >= fresh_age) {
         linger();
     }
 }
--- a/src/loop/caller_connection.hpp
+++ b/src/loop/caller_connection.hpp
@@ -38,7 +38,7 @@
     /** Closes at once and tells nobody. */
     void close();
     /** Closes unless a request is read or answered. */
-    void close_if_idle();
+    void close_if_idle(time_point now);
 
     void bytes_came(std::string_view bytes) override;
     void end_came() override;
--- a/src/loop/caller_front.cpp
+++ b/src/loop/caller_front.cpp
@@ -76,18 +76,23 @@
             accept_later();
             return;
         }
-        if (m_connections.size() < m_limits.max_connections) {
-            auto stream =
-                std::make_shared<stream_socket>(m_loop, std::move(socket));
-            auto connection = std::make_shared<caller_connection>(
-                *this, std::move(stream), m_limits, m_loop.time.now());
-            m_connections[connection.get()] = connection;
-            connection->start();
-        }
+        take(std::move(socket));
         accept();
     });
 }
 
+void caller_front::take(tcp::socket socket)
+{
+    if (m_connections.size() >= m_limits.max_connections) {
+        return;
+    }
+    auto stream = std::make_shared<stream_socket>(m_loop, std::move(socket));
+    auto connection = std::make_shared<caller_connection>(
+        *this, std::move(stream), m_limits, m_loop.time.now());
+    m_connections[connection.get()] = connection;
+    connection->start();
+}
+
 void caller_front::accept_later()
 {
     auto timer = std::make_shared<asio::steady_timer>(m_loop.io, accept_pause);
@@ -158,12 +163,22 @@
         all.push_back(connection);
     }
     for (const auto& connection : all) {
-        connection->close_if_idle();
+        connection->close_if_idle(m_loop.time.now());
     }
 }
 
+// Closing the listener resets what waits in its queue.
 void caller_front::stop_accepting()
 {
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_loop.io);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            take(std::move(socket));
+        }
+    }
     error_code ignored;
     m_acceptor.close(ignored);
 }
--- a/src/loop/caller_front.hpp
+++ b/src/loop/caller_front.hpp
@@ -72,7 +72,7 @@
     void close_after_answers();
     /** Closes connections that have no request. */
     void close_idle();
-    /** Stops to accept. */
+    /** Accepts the connections that wait, and no further ones. */
     void stop_accepting();
 
     /** Ends connections that are idle or slow for too long. */
@@ -88,6 +88,7 @@
 
     void accept();
     void accept_later();
+    void take(boost::asio::ip::tcp::socket socket);
     caller_token token_for(const std::shared_ptr<caller_connection>& c);
     void forget(caller_token token);
     void remove(caller_connection* connection);
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -18,10 +18,6 @@
 constexpr duration sweep_interval = 500ms;
 /** Interval while the source of the store's news is not chosen. */
 constexpr duration undecided_interval = 50ms;
-/** Time in which the balancer notices that a VM is not ready. */
-constexpr duration balancer_lag = 2600ms;
-/** Time before the process is killed at which it ends by itself. */
-constexpr duration stop_margin = 300ms;
 /** Time after which a VM is ready though it found no other. */
 constexpr duration longest_unready = 4s;
 constexpr const char* ready_path = "/ready";
@@ -77,13 +73,14 @@
 
 int gateway_process::run()
 {
+    // Before the first caller can connect, so that no signal cuts a request.
+    wait_for_signals();
     if (!listen()) {
         return 1;
     }
     m_log.write(log_code::node_started,
                 "data_centre=" + m_file.data_centre +
                     " callers=" + to_string(m_file.callers));
-    wait_for_signals();
     m_store.review();
     sweep();
     m_io.run();
@@ -309,21 +306,9 @@
     m_links.sweep(now);
     m_relay_links.sweep(now);
     m_log.report_dropped();
-    if (m_stopping_since) {
-        const duration stopping = now - *m_stopping_since;
-        if (stopping > balancer_lag) {
-            m_front.close_idle();
-        }
-        const bool done = stopping > balancer_lag &&
-                          m_front.connections() == 0 &&
-                          m_gateway.relayed_count() == 0;
-        if (done || stopping > m_file.stop_within - stop_margin) {
-            m_log.write(log_code::node_left,
-                        "requests_in_flight=" +
-                            std::to_string(m_gateway.open_request_count()));
-            m_io.stop();
-            return;
-        }
+    if (m_stop && continue_stop(now)) {
+        m_io.stop();
+        return;
     }
     m_sweep_timer.expires_after(next_sweep());
     m_sweep_timer.async_wait([this](const error_code& error) {
@@ -338,7 +323,7 @@
     if (m_store.undecided()) {
         return undecided_interval;
     }
-    return m_stopping_since ? sweep_interval / 5 : sweep_interval;
+    return m_stop ? sweep_interval / 5 : sweep_interval;
 }
 
 void gateway_process::wait_for_signals()
@@ -366,19 +351,50 @@
 
 void gateway_process::begin_stop()
 {
-    if (m_stopping_since) {
+    if (m_stop) {
         return;
     }
-    m_stopping_since = m_clock.now();
+    m_stop.emplace(m_clock.now(), m_file.stop_within);
+    m_log.write(
+        log_code::node_leaving,
+        "requests_in_flight=" + std::to_string(m_gateway.open_request_count()) +
+            " connections=" + std::to_string(m_front.connections()));
     m_front.close_after_answers();
-    handle(vm_leaving{});
-    m_log.write(log_code::node_leaving,
-                "requests_in_flight=" +
-                    std::to_string(m_gateway.open_request_count()));
+    handle(vm_leaving{m_stop->balancer_noticed(), m_stop->answer_by()});
     m_sweep_timer.cancel();
     sweep();
 }
 
+// Once nobody can connect and every connection has ended, nothing is owed.
+bool gateway_process::continue_stop(time_point now)
+{
+    if (now < m_stop->balancer_noticed()) {
+        return false;
+    }
+    if (m_accepting) {
+        m_accepting = false;
+        m_front.stop_accepting();
+    }
+    m_front.close_idle();
+    const bool late = now >= m_stop->end_by();
+    if (late) {
+        // A loop that was held up may not have come to the last answers.
+        handle(vm_leaving{now, now});
+    }
+    const bool done = m_front.connections() == 0 &&
+                      m_gateway.relayed_count() == 0 &&
+                      m_gateway.open_request_count() == 0;
+    if (!done && !late) {
+        return false;
+    }
+    m_log.write(
+        log_code::node_left,
+        "requests_in_flight=" + std::to_string(m_gateway.open_request_count()) +
+            " connections=" + std::to_string(m_front.connections()) +
+            " relayed=" + std::to_string(m_gateway.relayed_count()));
+    return true;
+}
+
 gateway_state gateway_process::state() const
 {
     const time_point now = m_clock.now();
@@ -405,7 +421,7 @@
         m_gateway.members().settled(now) || now - m_started >= longest_unready;
     const bool knows_newest = !m_gateway.has_older_configuration() ||
                               now - m_started >= longest_unready;
-    return !m_stopping_since && knows_fleet && knows_newest &&
+    return !m_stop && knows_fleet && knows_newest &&
            m_gateway.reaches_servers(now) && m_gateway.settings() != nullptr &&
            m_gateway.server_count() > 0;
 }
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -12,6 +12,7 @@
 #include "loop/loop_lag.hpp"
 #include "loop/peer_socket.hpp"
 #include "loop/relay_links.hpp"
+#include "loop/stop_schedule.hpp"
 #include "loop/store_source.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -55,6 +56,8 @@
     duration next_sweep() const;
     void wait_for_signals();
     void begin_stop();
+    /** Does what is due of a stop; returns whether the process ends now. */
+    bool continue_stop(time_point now);
     bool ready() const;
     gateway_state state() const;
     void settings_changed();
@@ -82,7 +85,8 @@
     std::optional<time_point> m_wakeup;
     time_point m_wakeup_planned;
     loop_lag m_lag;
-    std::optional<time_point> m_stopping_since;
+    std::optional<stop_schedule> m_stop;
+    bool m_accepting = true;
     std::uint64_t m_version = 0;
 };
 
--- a/src/tables/open_request.hpp
+++ b/src/tables/open_request.hpp
@@ -3,6 +3,7 @@
 
 #include "core/gateway_messages.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -122,8 +123,20 @@
     time_point deadline;
     /** Time up to which an answer is worth its full value. */
     time_point answer_at;
+    /** The deadline was moved forward because this VM stops. */
+    bool limited_by_stop = false;
     /** One call, or one for each shard. */
     std::vector<service_call> calls;
+
+    /** Moves the deadline forward to the time at which this VM stops. */
+    void limit_deadline(time_point latest)
+    {
+        if (latest < deadline) {
+            deadline = latest;
+            answer_at = std::min(answer_at, latest);
+            limited_by_stop = true;
+        }
+    }
 };
 
 /** Names one call of an open request. */
--- a/src/tests/loop/caller_front_test.cpp
+++ b/src/tests/loop/caller_front_test.cpp
@@ -336,3 +336,55 @@
         io, [&] { return peers.back()->received().size() > large_body; }));
     CHECK(peers.front()->received().size() < large_body);
 }
+
+// LOST: what had come behind a request was dropped with the connection.
+TEST(caller_front, a_request_behind_another_is_answered_when_the_vm_stops)
+{
+    const auto peer = connect();
+    front->close_after_answers();
+    peer->send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3");
+    await_requests(1);
+    front->answer(handler.tokens[0], {200, "", "one"});
+    await_requests(2);
+    front->answer(handler.tokens[1], {200, "", "two"});
+    peer->send(" HTTP/1.1\r\n\r\n");
+    await_requests(3);
+    CHECK(!contains(peer->received(), "Connection: close"));
+    front->answer(handler.tokens[2], {200, "", "three"});
+    await_end(*peer);
+    CHECK(contains(peer->received(), "Connection: close"));
+    CHECK(contains(peer->received(), "three"));
+}
+
+// A listener that closes resets the connections that wait in its queue.
+TEST(caller_front, callers_in_the_queue_are_served_when_accepting_stops)
+{
+    std::vector<std::unique_ptr<raw_peer>> peers;
+    for (int i = 0; i < 5; ++i) {
+        peers.push_back(connect());
+        peers.back()->send("GET / HTTP/1.1\r\n\r\n");
+    }
+    front->stop_accepting();
+    front->close_idle();
+    await_requests(5);
+    for (int i = 0; i < 5; ++i) {
+        front->answer(handler.tokens[i], {200, "", "served"});
+        await_text(*peers[i], "served");
+    }
+    CHECK_EQUAL(-1, raw_peer::connect_to(port));
+}
+
+TEST(caller_front, connections_end_as_idle_only_after_a_while)
+{
+    const auto peer = connect();
+    CHECK(run_until(io, [&] { return front->connections() == 1; }));
+    time.step(249ms);
+    front->close_idle();
+    peer->send("GET / HTTP/1.1\r\n\r\n");
+    await_requests(1);
+    front->answer(handler.tokens[0], {200, "", "served"});
+    await_text(*peer, "served");
+    time.step(250ms);
+    front->close_idle();
+    await_end(*peer);
+}
--- a/src/tests/process/caller.cpp
+++ b/src/tests/process/caller.cpp
@@ -14,20 +14,22 @@
 constexpr milliseconds patience{3000};
 constexpr milliseconds pause_when_refused{20};
 
-/** Returns whether the bytes are a whole answer; splits it if so. */
-bool is_whole(const std::string& bytes, call_result& result)
+/** Takes a whole answer off the bytes; returns whether there is one. */
+bool take_answer(std::string& bytes, call_result& result)
 {
     const std::size_t end = bytes.find("\r\n\r\n");
     if (end == std::string::npos) {
         return false;
     }
-    result.head = bytes.substr(0, end + 2);
-    const std::string length = header_of(result.head, "Content-Length");
+    const std::string head = bytes.substr(0, end + 2);
+    const std::string length = header_of(head, "Content-Length");
     const std::size_t size = length.empty() ? 0 : std::stoul(length);
     if (bytes.size() < end + 4 + size) {
         return false;
     }
-    result.body = bytes.substr(end + 4);
+    result.head = head;
+    result.body = bytes.substr(end + 4, size);
+    bytes.erase(0, end + 4 + size);
     return true;
 }
 
@@ -66,20 +68,34 @@
             std::this_thread::sleep_for(pause_when_refused);
             continue;
         }
-        for (unsigned i = 0; i < m_habits.per_connection && !m_stopping; ++i) {
-            m_results.push_back(call(connection, i > 0));
-            const call_result& last = m_results.back();
-            if (last.end != call_end::answered ||
-                header_of(last.head, "Connection") == "close") {
-                break;
-            }
-            const auto pause = m_random() % (m_habits.most_pause.count() + 1);
-            std::this_thread::sleep_for(milliseconds(pause));
+        use(connection);
+    }
+}
+
+void caller::use(plain_socket& connection)
+{
+    m_input.clear();
+    for (unsigned i = 0; i < m_habits.per_connection && !m_stopping; ++i) {
+        std::vector<call_result> calls;
+        for (unsigned n = 0; n < m_habits.pipelined; ++n) {
+            calls.push_back(send(connection, i > 0));
         }
+        bool closes = false;
+        for (call_result& call : calls) {
+            await_answer(connection, call);
+            closes = closes || call.end != call_end::answered ||
+                     header_of(call.head, "Connection") == "close";
+            m_results.push_back(std::move(call));
+        }
+        if (closes) {
+            return;
+        }
+        const auto pause = m_random() % (m_habits.most_pause.count() + 1);
+        std::this_thread::sleep_for(milliseconds(pause));
     }
 }
 
-call_result caller::call(plain_socket& connection, bool kept)
+call_result caller::send(plain_socket& connection, bool kept)
 {
     call_result result;
     result.id = "c" + std::to_string(m_number) + "-" + std::to_string(++m_sent);
@@ -92,28 +108,32 @@
         " HTTP/1.1\r\nHost: lots.example\r\nRequest-Id: " + result.id +
         "\r\nRequest-Deadline: " + std::to_string(m_habits.deadline.count()) +
         "\r\n\r\n");
-    result.end =
-        read_answer(connection, result) ? call_end::answered : result.end;
-    result.ended = steady_clock::now();
     return result;
 }
 
+void caller::await_answer(plain_socket& connection, call_result& result)
+{
+    if (read_answer(connection, result)) {
+        result.end = call_end::answered;
+    }
+    result.ended = steady_clock::now();
+}
+
 bool caller::read_answer(plain_socket& connection, call_result& result)
 {
     const auto until = result.sent + m_habits.deadline + patience;
-    std::string bytes;
-    while (steady_clock::now() < until) {
-        const read_end why = connection.read(bytes, poll_interval);
-        if (is_whole(bytes, result)) {
-            return true;
+    while (!take_answer(m_input, result)) {
+        if (steady_clock::now() >= until) {
+            return false;
         }
+        const read_end why = connection.read(m_input, poll_interval);
         if (why == read_end::closed || why == read_end::reset) {
             result.end = call_end::closed;
-            result.body = bytes;
+            result.body = m_input;
             return false;
         }
     }
-    return false;
+    return true;
 }
 
 } // namespace cranberrywood::tests
--- a/src/tests/process/caller.hpp
+++ b/src/tests/process/caller.hpp
@@ -59,6 +59,8 @@
     unsigned per_connection = 1000;
     /** Goes to another VM when one refuses the connection. */
     bool moves = true;
+    /** Requests that are sent without waiting for the answers between. */
+    unsigned pipelined = 1;
 };
 
 /** A caller in a thread of its own: one request after the other. */
@@ -76,7 +78,9 @@
 
 private:
     void run();
-    call_result call(plain_socket& connection, bool kept);
+    void use(plain_socket& connection);
+    call_result send(plain_socket& connection, bool kept);
+    void await_answer(plain_socket& connection, call_result& result);
     bool read_answer(plain_socket& connection, call_result& result);
 
     unsigned m_number;
@@ -85,6 +89,8 @@
     caller_habits m_habits;
     std::mt19937 m_random;
     unsigned m_sent = 0;
+    /** Bytes of the connection in use behind the last answer. */
+    std::string m_input;
     std::atomic<bool> m_stopping{false};
     std::vector<call_result> m_results;
     std::thread m_thread;
--- a/src/tests/process/planned_stops.cpp
+++ b/src/tests/process/planned_stops.cpp
@@ -52,6 +52,7 @@
     process.signal(SIGTERM);
     if (twice) {
         std::this_thread::sleep_for(milliseconds(300));
+        process.signal(SIGHUP);
         process.signal(SIGTERM);
     }
     auto status = process.wait_for_end(grace);
@@ -155,6 +156,7 @@
         // some come back to their VM until its process is gone.
         habits.per_connection = i % 3 == 0 ? 1 : 1000;
         habits.moves = i % 2 == 0;
+        habits.pipelined = i % 8 == 7 ? 2 : 1;
         callers.push_back(std::make_unique<caller>(
             i, i % plan.vms, platform.targets(), habits, random()));
     }
@@ -175,6 +177,11 @@
             });
         }
         stops.push_back(stop_vm(platform, first, twice));
+        if (random() % 4 == 0) {
+            // In the first second of its life.
+            std::this_thread::sleep_for(milliseconds(random() % 1000));
+            stops.push_back(stop_vm(platform, first, false));
+        }
         if (overlapping) {
             other.join();
             stops.push_back(second);
