MIXED: a head that is none reaches nobody, whoever sent it

Callers saw: the status 000 of a backend server in trouble as an answer; on this code also 099, 600, 999, 103 and 150 as answers, lines that begin with a blank joined to the line before, two receipts and two ids.

Cause: the HTTP library takes any three digits for a status and joins folded lines, and nothing checked behind it; fields that may stand once were looked up by name; statuses below 200 without a name in the library counted as final.

Change: one strict check of each whole head (head_check) in the reader that callers, servers, the store and peers share; the same check on what peers relay; two ids or receipts are no answer; only 100, 102 and 103 without a body are interim.

Ruled out: control bytes and blanks in names; the library refuses them (502 before).

--- a/src/loop/answer_match.hpp
+++ b/src/loop/answer_match.hpp
@@ -14,6 +14,8 @@
     other,
     /** It names none. */
     unnamed,
+    /** A header that may stand once stands twice. */
+    invalid,
 };
 
 } // namespace cranberrywood
--- a/src/loop/backend_connection.cpp
+++ b/src/loop/backend_connection.cpp
@@ -20,6 +20,7 @@
 constexpr duration min_idle_limit = 250ms;
 /** Time in which a server that forgot a connection resets it: a round trip. */
 constexpr duration prompt_reset = 8ms;
+constexpr unsigned first_final_status = 200;
 /** Interim responses before an answer that are read before giving up. */
 constexpr std::uint32_t max_interim = 8;
 /**
@@ -28,6 +29,23 @@
  */
 constexpr message_limits answer_limits{65536, 4UL * 1024 * 1024};
 
+/**
+ * Returns whether a response below 200 comes before the answer. Nobody asks for
+ * another protocol, and such a response has no body.
+ */
+bool is_interim(const http_response& response)
+{
+    constexpr unsigned continue_status = 100;
+    constexpr unsigned processing_status = 102;
+    constexpr unsigned early_hints_status = 103;
+    const unsigned status = response.result_int();
+    const bool known = status == continue_status ||
+                       status == processing_status ||
+                       status == early_hints_status;
+    return known && response.count(http::field::content_length) == 0 &&
+           response.count(http::field::transfer_encoding) == 0;
+}
+
 } // namespace
 
 backend_connection::backend_connection(backend_links& links,
@@ -208,13 +226,23 @@
 // connection is not used again, so a server that names none stays in use.
 void backend_connection::answer_complete()
 {
-    const bool ends = m_reader.current().need_eof();
+    const bool may_end = m_reader.current().need_eof();
     http_response response = m_reader.take();
-    const bool interim = http::to_status_class(response.result()) ==
-                         http::status_class::informational;
+    const bool below_200 = response.result_int() < first_final_status;
+    const bool interim = below_200 && is_interim(response);
+    const bool ends = may_end && !interim;
+    if (below_200 && !interim) {
+        // A server that sends it as its answer sends no other.
+        fail(exchange_fault::invalid_answer);
+        return;
+    }
     const answer_match match =
         interim ? answer_match::other
                 : m_links.m_handler.match(response, m_exchange->request_id);
+    if (match == answer_match::invalid) {
+        fail(exchange_fault::invalid_answer);
+        return;
+    }
     if (match == answer_match::unnamed && m_carried) {
         fail(exchange_fault::connection_lost);
         return;
--- a/src/loop/message_reader.hpp
+++ b/src/loop/message_reader.hpp
@@ -3,6 +3,7 @@
 
 #include "loop/http_types.hpp"
 #include "loop/message_framing.hpp"
+#include "wire/head_check.hpp"
 
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
@@ -136,6 +137,10 @@
         namespace http = boost::beast::http;
         while (!m_input.empty() && (m_state == read_state::empty ||
                                     m_state == read_state::partial)) {
+            if (!m_parser->is_header_done() && has_spoiled_head()) {
+                m_state = read_state::malformed;
+                break;
+            }
             boost::beast::error_code error;
             const std::size_t used = m_parser->put(
                 boost::asio::buffer(m_input.data(), m_input.size()), error);
@@ -160,6 +165,20 @@
         return m_state;
     }
 
+    // The parser takes any three digits for a status and joins folded lines. It
+    // takes a head once it is whole, so the head is still there.
+    bool has_spoiled_head() const
+    {
+        const std::size_t end = m_input.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            return false;
+        }
+        const std::string_view head =
+            std::string_view(m_input).substr(0, end + 2);
+        return IsRequest ? !is_proper_request_head(head)
+                         : !is_proper_answer_head(head);
+    }
+
     // The parser gives a request with an unknown coding a body of no bytes.
     read_state state_at_end() const
     {
--- a/src/tests/loop/message_reader_test.cpp
+++ b/src/tests/loop/message_reader_test.cpp
@@ -3,6 +3,7 @@
 #include "loop/message_reader.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <cctype>
 
 using namespace cranberrywood;
 
@@ -184,3 +185,113 @@
                    row.name);
     }
 }
+
+// MIXED: callers got the status 000 and names with blanks as answers.
+TEST(message_reader, spoiled_heads_of_answers_are_malformed)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string heads[] = {
+        "HTTP/1.1 000 Nothing\r\n",
+        "HTTP/1.1 099 Low\r\n",
+        "HTTP/1.1 600 High\r\n",
+        "HTTP/1.1 999 High\r\n",
+        "HTTP/1.1 20 OK\r\n",
+        "HTTP/1.1 2000 OK\r\n",
+        "HTTP/1.1 2x0 OK\r\n",
+        "HTTP/1.1 -20 OK\r\n",
+        "HTTP/1.1  200 OK\r\n",
+        "HTTP/1.1\t200 OK\r\n",
+        "HTTP/1.2 200 OK\r\n",
+        "HTTP/2.0 200 OK\r\n",
+        "http/1.1 200 OK\r\n",
+        "HTTP/1.1 200 O\x01K\r\n",
+        "HTTP/1.1 200 O\rK\r\n",
+        "HTTP/1.1 200 O\nK\r\n",
+        "\r\n" + ok,
+        " " + ok,
+        ok + "X y: 1\r\n",
+        ok + "X\ty: 1\r\n",
+        ok + "X\x01y: 1\r\n",
+        ok + std::string("X\0y: 1\r\n", 8),
+        ok + "X\x7fy: 1\r\n",
+        ok + "X\xe9y: 1\r\n",
+        ok + "X(y): 1\r\n",
+        ok + "X-Y : 1\r\n",
+        ok + " X-Y: 1\r\n",
+        ok + "A: 1\r\n X-Y: 1\r\n",
+        ok + "A: 1\r\n\tmore\r\n",
+        ok + ": 1\r\n",
+        ok + "X-Y\r\n",
+        ok + "X-Y: a\x01z\r\n",
+        ok + std::string("X-Y: a\0z\r\n", 10),
+        ok + "X-Y: a\x7fz\r\n",
+        ok + "X-Y: a\rz\r\n",
+        ok + "X-Y: a\nz\r\n",
+    };
+    const message_limits bounds{4096, 4096};
+    for (const std::string& head : heads) {
+        response_reader whole(bounds);
+        CHECK_TEXT(whole.feed(head + "Content-Length: 0\r\n\r\n") ==
+                       read_state::malformed,
+                   head.c_str());
+        response_reader bytewise(bounds);
+        for (const char byte : head + "Content-Length: 0\r\n\r\n") {
+            bytewise.feed(std::string_view(&byte, 1));
+        }
+        CHECK_TEXT(bytewise.state() == read_state::malformed, head.c_str());
+    }
+}
+
+TEST(message_reader, spoiled_heads_of_requests_are_malformed)
+{
+    const std::string first = "GET /a HTTP/1.1\r\n";
+    const std::string heads[] = {
+        first + "X y: 1\r\n",      first + "X\x01y: 1\r\n",
+        first + "X-Y : 1\r\n",     first + " X-Y: 1\r\n",
+        first + "A: 1\r\n b\r\n",  first + "X-Y: a\x01z\r\n",
+        first + "X-Y: a\rz\r\n",   first + "X-Y: a\nz\r\n",
+        "GET  /a HTTP/1.1\r\n",    "GET /a b HTTP/1.1\r\n",
+        "GET /a\x01 HTTP/1.1\r\n", "GE(T /a HTTP/1.1\r\n",
+        "GET /a HTTP/1.2\r\n",     "GET /a\r\n",
+    };
+    for (const std::string& head : heads) {
+        request_reader reader(limits);
+        CHECK_TEXT(reader.feed(head + "\r\n") == read_state::malformed,
+                   head.c_str());
+    }
+}
+
+TEST(message_reader, unusual_but_proper_heads_are_read)
+{
+    const std::string heads[] = {
+        "HTTP/1.1 200 \r\n",
+        "HTTP/1.0 599 \xc3\xa9t\xc3\xa9\r\n",
+        "HTTP/1.1 200 OK\r\nX-Y:\r\n",
+        "HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~9: a:b \t \xe9\r\n",
+    };
+    for (const std::string& head : heads) {
+        response_reader reader(limits);
+        CHECK_TEXT(reader.feed(head + "Content-Length: 0\r\n\r\n") ==
+                       read_state::complete,
+                   head.c_str());
+    }
+}
+
+// One byte of a name that is no token's spoils the whole head.
+TEST(message_reader, property_a_name_with_any_other_byte_is_malformed)
+{
+    const bool holds = rc::check([](unsigned char byte) {
+        const bool token =
+            std::isalnum(byte) != 0 ||
+            std::string("!#$%&'*+-.^_`|~").find(static_cast<char>(byte)) !=
+                std::string::npos;
+        RC_PRE(!token && byte != ':');
+        response_reader reader(limits);
+        const std::string name =
+            std::string("X") + static_cast<char>(byte) + "Y";
+        RC_ASSERT(reader.feed("HTTP/1.1 200 OK\r\n" + name +
+                              ": 1\r\nContent-Length: 0\r\n\r\n") ==
+                  read_state::malformed);
+    });
+    CHECK(holds);
+}
--- a/src/tests/loop/relay_links_test.cpp
+++ b/src/tests/loop/relay_links_test.cpp
@@ -128,6 +128,35 @@
     }
 }
 
+TEST(relay_links, heads_that_are_none_are_refused)
+{
+    for (const unsigned status : {0U, 99U, 600U}) {
+        exchange_ended spoiled = answered();
+        std::get<backend_answer>(spoiled.result).status = status;
+        CHECK(std::holds_alternative<wire_error>(
+            decode_relay_result(encode_relay_result(spoiled), exchange_id(1))));
+    }
+    for (const char* lines : {"A b: c\r\n", "A: b", "A: b\r\n c\r\n",
+                              "A: b\r\n\r\nGET / HTTP/1.1\r\n"}) {
+        relay_request spoiled = request();
+        auto outbound = std::make_shared<outbound_request>(*spoiled.outbound);
+        outbound->header_lines = lines;
+        spoiled.outbound = outbound;
+        CHECK(std::holds_alternative<wire_error>(
+            decode_relay_request(encode(spoiled))));
+    }
+    relay_request spoiled = request();
+    auto outbound = std::make_shared<outbound_request>(*spoiled.outbound);
+    outbound->target = "/a HTTP/1.1\r\nX: y";
+    spoiled.outbound = outbound;
+    CHECK(std::holds_alternative<wire_error>(
+        decode_relay_request(encode(spoiled))));
+    spoiled = request();
+    spoiled.workspace = "desk\r\nX: y";
+    CHECK(std::holds_alternative<wire_error>(
+        decode_relay_request(encode(spoiled))));
+}
+
 TEST(relay_links, bytes_that_are_no_message_are_refused)
 {
     const std::string whole = encode(request());
--- a/src/tests/platform/http_adapter_test.cpp
+++ b/src/tests/platform/http_adapter_test.cpp
@@ -171,6 +171,16 @@
     CHECK(adapter.match(without_id, "9c41") == answer_match::unnamed);
 }
 
+// MIXED: a second receipt or id was passed on beside the first.
+TEST(http_adapter, an_answer_with_two_ids_or_receipts_is_none)
+{
+    for (const char* name : {"Request-Id", "Response-Stamp"}) {
+        http_response twice = response(200);
+        twice.insert(name, "other");
+        CHECK(adapter.match(twice, "9c41") == answer_match::invalid);
+    }
+}
+
 TEST(http_adapter, reads_proofs_that_a_request_has_not_run)
 {
     http_response shed = response(503);
--- a/src/tests/process/play.hpp
+++ b/src/tests/process/play.hpp
@@ -44,6 +44,8 @@
 play_report play_planned_stops(const play_plan& plan);
 /** Restarts all VMs while entries of other writers stand in the store. */
 play_report play_foreign_entries(const play_plan& plan);
+/** Lets a service answer with heads that are not proper. */
+play_report play_spoiled_heads(const play_plan& plan);
 
 } // namespace cranberrywood::tests
 
--- a/src/tests/process/process_soak.cpp
+++ b/src/tests/process/process_soak.cpp
@@ -26,6 +26,7 @@
     static const std::map<std::string, play> all = {
         {"foreign_entries", play_foreign_entries},
         {"planned_stops", play_planned_stops},
+        {"spoiled_heads", play_spoiled_heads},
     };
     return all;
 }
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/relay_codec.hpp"
 
+#include "wire/head_check.hpp"
+
 #include "wire/gen/gateway_types.h"
 #include "wire/message_codec.hpp"
 
@@ -63,6 +65,9 @@
 {
     backend_answer answer;
     answer.status = static_cast<unsigned>(wired.status);
+    if (!is_status(answer.status) || !are_proper_fields(wired.header_lines)) {
+        throw wire_detail::out_of_range_value("head of a relayed answer");
+    }
     answer.not_run = wired.not_run;
     answer.misdirected = wired.misdirected;
     answer.leaving = wired.leaving;
@@ -130,6 +135,11 @@
     return wire_detail::decode_safely<relay_request>(
         [&]() -> std::variant<relay_request, wire_error> {
             const auto wired = read_all<wire::relay_request>(bytes);
+            if (!is_token(wired.method) || !is_visible_text(wired.target) ||
+                !are_proper_fields(wired.header_lines) ||
+                !is_field_value(wired.workspace)) {
+                throw wire_detail::out_of_range_value("head of a request");
+            }
             relay_request request;
             request.service = service_id(core_id(wired.service_id));
             for (const std::int64_t server : wired.tried) {
