--- a/src/tests/process/planned_stops.cpp
+++ b/src/tests/process/planned_stops.cpp
@@ -144,9 +144,7 @@
     platform_plan started{plan.program, plan.folder};
     started.vms = plan.vms;
     standin_platform platform(started, react);
-    platform.start_vms();
-    report.check(platform.wait_ready(plan.vms, ready_time), "READY",
-                 "VMs are not ready in time");
+    report.check(platform.start_ready(), "READY", "VMs are not ready in time");
     std::mt19937 random(plan.seed);
     std::vector<std::unique_ptr<caller>> callers;
     for (unsigned i = 0; i < plan.vms * callers_of_vm; ++i) {
--- a/src/tests/process/process_soak.cpp
+++ b/src/tests/process/process_soak.cpp
@@ -1,4 +1,5 @@
 #include "process/play.hpp"
+#include "process/vm_process.hpp"
 
 #include <csignal>
 #include <filesystem>
@@ -6,6 +7,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
+#include <thread>
 #include <unistd.h>
 
 namespace {
@@ -14,6 +16,7 @@
 
 constexpr int exit_broken = 1;
 constexpr int exit_usage = 2;
+constexpr int exit_interrupted = 3;
 constexpr unsigned max_vms = 40;
 constexpr unsigned max_length_s = 3600;
 /** Findings of a rule that are printed in full. */
@@ -89,6 +92,23 @@
     return path;
 }
 
+/** Ends the VMs, and then this process, when it is interrupted. */
+void end_when_interrupted()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        end_all_vms();
+        std::cerr << "interrupted\n";
+        ::_exit(exit_interrupted);
+    }).detach();
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -127,6 +147,7 @@
             return exit_usage;
         }
         std::signal(SIGPIPE, SIG_IGN);
+        end_when_interrupted();
         const play_plan plan{program.getValue(), new_folder(), seed.getValue(),
                              vms.getValue(),
                              std::chrono::seconds(length.getValue())};
--- a/src/tests/process/spoiled_heads.cpp
+++ b/src/tests/process/spoiled_heads.cpp
@@ -11,7 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds ready_time{8000};
 /** Bytes that are no answer are known at once, long before the deadline. */
 constexpr milliseconds longest_call{1000};
 /** Lines of this prefix stand behind the server's own. */
@@ -107,9 +106,7 @@
     platform_plan started{plan.program, plan.folder};
     started.vms = plan.vms;
     standin_platform platform(started, spoil);
-    platform.start_vms();
-    report.check(platform.wait_ready(plan.vms, ready_time), "READY",
-                 "VMs are not ready in time");
+    report.check(platform.start_ready(), "READY", "VMs are not ready in time");
     caller_habits habits;
     for (std::size_t i = 0; i < spoiled_heads().size(); ++i) {
         habits.targets.push_back("/odd/" + std::to_string(i));
--- a/src/tests/process/standin_platform.cpp
+++ b/src/tests/process/standin_platform.cpp
@@ -12,6 +12,7 @@
 
 constexpr vm_ports ports_of_vms{18363, 18364, 18360, 18740};
 constexpr std::chrono::milliseconds poll_interval{100};
+constexpr std::chrono::milliseconds start_time{8000};
 /** Addresses 127.A.B.*, so that runs side by side don't meet. */
 std::string network_of_run()
 {
@@ -119,6 +120,12 @@
     }
 }
 
+bool standin_platform::start_ready()
+{
+    start_vms();
+    return wait_ready(m_vms.size(), start_time);
+}
+
 std::size_t standin_platform::ready_vms() const
 {
     return static_cast<std::size_t>(
--- a/src/tests/process/standin_platform.hpp
+++ b/src/tests/process/standin_platform.hpp
@@ -47,6 +47,8 @@
     }
     /** Starts all VMs. */
     void start_vms();
+    /** Starts all VMs and waits; returns whether all got ready in time. */
+    bool start_ready();
     /** Waits until as many VMs are ready; returns whether they were. */
     bool wait_ready(std::size_t vms, std::chrono::milliseconds most) const;
     std::size_t ready_vms() const;
--- a/src/tests/process/vm_process.cpp
+++ b/src/tests/process/vm_process.cpp
@@ -5,6 +5,8 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <mutex>
+#include <set>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -20,8 +22,42 @@
 constexpr std::chrono::milliseconds ready_answer_time{500};
 constexpr unsigned max_seeds = 3;
 
+/** Ids of the processes that were started and not waited for. */
+class process_ids
+{
+public:
+    void add(pid_t id)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_ids.insert(id);
+    }
+    void remove(pid_t id)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_ids.erase(id);
+    }
+    void kill_all()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        for (const pid_t id : m_ids) {
+            ::kill(id, SIGKILL);
+        }
+    }
+
+private:
+    std::mutex m_mutex;
+    std::set<pid_t> m_ids;
+};
+
+process_ids running_vms;
+
 } // namespace
 
+void end_all_vms()
+{
+    running_vms.kill_all();
+}
+
 vm_process::vm_process(const vm_origin& origin, unsigned index)
     : m_origin(origin), m_name("vm-" + std::to_string(index)),
       m_host(origin.network + "." + std::to_string(index + 1)),
@@ -36,6 +72,7 @@
     if (running()) {
         ::kill(m_pid, SIGKILL);
         ::waitpid(m_pid, nullptr, 0);
+        running_vms.remove(m_pid);
     }
 }
 
@@ -71,18 +108,27 @@
     posix_spawn_file_actions_addopen(&actions, 1, m_log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    // The soak blocks signals that a VM must get.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t none;
+    sigemptyset(&none);
+    posix_spawnattr_setsigmask(&attributes, &none);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
     std::string program = m_origin.program;
     std::string option = "--settings";
     std::string settings = m_settings;
     char* arguments[] = {program.data(), option.data(), settings.data(),
                          nullptr};
-    const int error = ::posix_spawn(&m_pid, program.c_str(), &actions, nullptr,
-                                    arguments, environ);
+    const int error = ::posix_spawn(&m_pid, program.c_str(), &actions,
+                                    &attributes, arguments, environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         m_pid = -1;
         throw std::runtime_error(program + ": cannot be started");
     }
+    running_vms.add(m_pid);
 }
 
 void vm_process::signal(int number)
@@ -103,6 +149,7 @@
     while (!m_status) {
         int status = 0;
         if (::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            running_vms.remove(m_pid);
             m_status =
                 WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
         } else if (std::chrono::steady_clock::now() >= until) {
--- a/src/tests/process/vm_process.hpp
+++ b/src/tests/process/vm_process.hpp
@@ -32,6 +32,9 @@
     std::chrono::seconds stop_within{6};
 };
 
+/** Kills every VM process that runs; for an end without destructors. */
+void end_all_vms();
+
 /** One process of the program under test; ended by id when it goes. */
 class vm_process
 {
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -10,3 +10,7 @@
 tools/check-style.sh "$build"
 tools/check-docs.sh "$build"
 ctest --test-dir "$build" --output-on-failure -j4
+if [ -s KNOWN-RED.txt ]; then
+  echo "not part of this run, known to fail:"
+  cat KNOWN-RED.txt
+fi
