MIXED: a head that comes in parts is checked as a whole

Cause: the parser takes the first lines of a head before the others have come; the check of the head saw only what was left in the input.

Change: what the parser has taken of a head is kept until the head was checked.

--- a/src/loop/message_reader.hpp
+++ b/src/loop/message_reader.hpp
@@ -129,6 +129,7 @@
         m_parser->eager(true);
         m_parser->header_limit(m_limits.header_bytes);
         m_parser->body_limit(m_limits.body_bytes);
+        m_head.clear();
         m_state = read_state::empty;
     }
 
@@ -144,6 +145,9 @@
             boost::beast::error_code error;
             const std::size_t used = m_parser->put(
                 boost::asio::buffer(m_input.data(), m_input.size()), error);
+            if (!m_parser->is_header_done()) {
+                m_head.append(m_input, 0, used);
+            }
             m_input.erase(0, used);
             m_state = read_state::partial;
             if (error == http::error::need_more) {
@@ -166,15 +170,17 @@
     }
 
     // The parser takes any three digits for a status and joins folded lines. It
-    // takes a head once it is whole, so the head is still there.
+    // may take the first lines of a head before the others have come.
     bool has_spoiled_head() const
     {
-        const std::size_t end = m_input.find("\r\n\r\n");
-        if (end == std::string::npos) {
+        const std::string joined =
+            m_head.empty() ? std::string() : m_head + m_input;
+        const std::string_view bytes = m_head.empty() ? m_input : joined;
+        const std::size_t end = bytes.find("\r\n\r\n");
+        if (end == std::string_view::npos) {
             return false;
         }
-        const std::string_view head =
-            std::string_view(m_input).substr(0, end + 2);
+        const std::string_view head = bytes.substr(0, end + 2);
         return IsRequest ? !is_proper_request_head(head)
                          : !is_proper_answer_head(head);
     }
@@ -199,6 +205,8 @@
     message_limits m_limits;
     read_state m_state = read_state::empty;
     std::string m_input;
+    /** Bytes of a head that the parser has taken before all of it came. */
+    std::string m_head;
     std::optional<
         boost::beast::http::parser<IsRequest, boost::beast::http::string_body>>
         m_parser;
--- a/src/tests/loop/message_reader_test.cpp
+++ b/src/tests/loop/message_reader_test.cpp
@@ -295,3 +295,35 @@
     });
     CHECK(holds);
 }
+
+// DENIED: a head that came in two segments was checked without its first lines.
+TEST(message_reader, a_head_may_come_in_two_parts)
+{
+    const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\nX: y\r\n\r\n";
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 2\r\n\r\nab";
+    for (std::size_t at = 1; at < request.size(); ++at) {
+        request_reader reader(limits);
+        CHECK(reader.feed(request.substr(0, at)) == read_state::partial);
+        CHECK(reader.feed(request.substr(at)) == read_state::complete);
+    }
+    for (std::size_t at = 1; at < answer.size(); ++at) {
+        response_reader reader(limits);
+        CHECK(reader.feed(answer.substr(0, at)) == read_state::partial);
+        CHECK(reader.feed(answer.substr(at)) == read_state::complete);
+    }
+}
+
+TEST(message_reader, a_spoiled_head_in_two_parts_is_malformed)
+{
+    for (const std::string head :
+         {"HTTP/1.1 000 No\r\nX: y\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX: y\r\n z\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX: y\r\nX z: y\r\nContent-Length: 0\r\n\r\n"}) {
+        for (std::size_t at = 1; at < head.size(); ++at) {
+            response_reader reader(limits);
+            reader.feed(head.substr(0, at));
+            CHECK(reader.feed(head.substr(at)) == read_state::malformed);
+        }
+    }
+}
