--- a/src/tests/process/planned_stops.cpp
+++ b/src/tests/process/planned_stops.cpp
@@ -200,9 +200,9 @@
     report.counts["stops"] = stops.size();
     for (const stop_record& stop : stops) {
         // A process that is not set up yet ends by the signal itself.
-        const bool unborn = !stop.listening && stop.status == -SIGTERM;
+        const bool ended_by_signal = !stop.listening && stop.status == -SIGTERM;
         report.counts["stops_before_listening"] += stop.listening ? 0 : 1;
-        report.check(stop.status == 0 || unborn, "LOST",
+        report.check(stop.status == 0 || ended_by_signal, "LOST",
                      "vm-" + std::to_string(stop.vm) + " ended with status " +
                          std::to_string(stop.status));
     }
