--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -24,6 +24,8 @@
  */
 constexpr int hedge_divisor = 3;
 constexpr duration min_hedge_age = 4ms;
+/** Latency assumed for a route, as a fraction of its target latency. */
+constexpr int assumed_latency_divisor = 6;
 /** Twice the number of medians after which an unanswered send is late. */
 constexpr int late_medians_times_two = 5;
 /** Shortest age at which a server is suspected; below it, latency is normal. */
@@ -58,10 +60,11 @@
 call_sender::call_sender(const gateway_settings& settings,
                          server_table& servers, server_choice& choice,
                          server_limits& limits, cold_limits& cold,
-                         server_suspicions& suspicions, relay_peers& peers)
+                         server_conditions& conditions,
+                         server_evidence& evidence, relay_peers& peers)
     : m_settings(settings), m_servers(servers), m_choice(choice),
-      m_server_limits(limits), m_cold_limits(cold), m_suspicions(suspicions),
-      m_relay_peers(peers), m_observer(servers),
+      m_server_limits(limits), m_cold_limits(cold), m_conditions(conditions),
+      m_evidence(evidence), m_relay_peers(peers), m_observer(servers),
       m_vms(settings.member.assumed_vms),
       m_extra_sends({settings.extra_send_percent, settings.extra_send_allowance,
                      settings.member.origin.first_start},
@@ -92,6 +95,9 @@
     service_call& c = request.calls[call];
     choice_criteria terms =
         criteria_for(c.service, purpose == send_purpose::hedge);
+    // The most urgent requests have no time to wait for an impaired server.
+    terms.may_probe = purpose == send_purpose::first &&
+                      request.terms->repeatable && request.priority > 0;
     for (const call_send& sent : c.sends) {
         terms.tried.push_back(sent.server);
     }
@@ -119,9 +125,11 @@
                              now,
                              false,
                              {},
-                             {}};
+                             {},
+                             usual_latency(*request.terms)};
     m_observer.sent(server, exchange, now);
     m_server_limits.record_sent(server, now);
+    m_conditions.record_sent(server, now);
     m_cold_limits.record_sent(row, now);
     c.sends.push_back({exchange, server, now, true, false});
     c.state = call_state::sent;
@@ -139,6 +147,7 @@
     terms.own_data_centre = m_settings.member.origin.data_centre;
     terms.max_in_flight = max_in_flight(service);
     terms.extra = extra;
+    terms.keep_to_two = terms.max_in_flight == 1;
     return terms;
 }
 
@@ -265,8 +274,9 @@
     }
     m_observer.answered(row.server, ended.exchange, !answer->not_run, now);
     if (answer->not_run) {
-        m_suspicions.found(row.server, suspicion_cause::refused, now, out);
+        m_evidence.refused(row.judged(), now, out);
     } else if (row.route.is_set()) {
+        m_evidence.answered(row.judged(), now, out);
         m_latencies.observe(row.route, now - row.sent_at, now);
     }
 }
@@ -329,6 +339,7 @@
     if (failure != nullptr &&
         failure->fault == exchange_fault::kept_connection_lost) {
         m_observer.answered(row.server, ended.exchange, false, now);
+        m_evidence.kept_connection_lost(row.judged(), now, out);
         return;
     }
     if (failure != nullptr &&
@@ -336,7 +347,7 @@
         m_cold_limits.refused(row.server, now, out);
     }
     m_observer.failed(row.server, ended.exchange, now);
-    m_suspicions.found(row.server, suspicion_cause::failed, now, out);
+    m_evidence.failed(row.judged(), now, out);
 }
 
 std::string call_sender::name_of_server(backend_server_id server) const
@@ -372,6 +383,7 @@
         return;
     }
     m_observer.cancelled(found->second.server, exchange, now);
+    m_evidence.cancelled(found->second.judged(), now, out);
     if (!found->second.relayed_by.empty()) {
         m_relay_peers.cancelled(found->second.relayed_by);
     }
@@ -395,6 +407,20 @@
     }
 }
 
+void call_sender::send_late(const late_send& late, const route& terms,
+                            time_point now, gateway_commands& out)
+{
+    m_evidence.late({late.server, late.sent_at, usual_latency(terms)}, now,
+                    out);
+}
+
+// A VM of a large fleet rarely has enough answers of a route with one server.
+duration call_sender::usual_latency(const route& terms) const
+{
+    const auto median = m_latencies.quantile(id_of<route_id>(terms.name), 0.5);
+    return median.value_or(terms.target_latency / assumed_latency_divisor);
+}
+
 // While many servers are slow, a high quantile reflects their latency, so the
 // hedge age is also limited by the target and the median.
 straggler_ages call_sender::ages_for(const route& terms) const
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -10,8 +10,8 @@
 #include "systems/queries/waiting_calls.hpp"
 #include "systems/servers/server_choice.hpp"
 #include "systems/servers/server_directory.hpp"
+#include "systems/servers/server_evidence.hpp"
 #include "systems/servers/server_limits.hpp"
-#include "systems/servers/server_suspicions.hpp"
 #include "tables/due_queue.hpp"
 
 namespace cranberrywood {
@@ -53,6 +53,13 @@
     std::string relayed_by;
     /** Set if this VM relays it for a peer. */
     relay_token relayed_for;
+    /** Latency that is usual for its route; 0 for sends for peers. */
+    duration usual{0};
+
+    judged_send judged() const
+    {
+        return {server, sent_at, usual};
+    }
 };
 
 /**
@@ -64,7 +71,8 @@
 public:
     call_sender(const gateway_settings& settings, server_table& servers,
                 server_choice& choice, server_limits& limits, cold_limits& cold,
-                server_suspicions& suspicions, relay_peers& peers);
+                server_conditions& conditions, server_evidence& evidence,
+                relay_peers& peers);
 
     void catalogue_changed(std::shared_ptr<const catalogue> limits);
     void fleet_changed(std::uint32_t vms);
@@ -110,6 +118,9 @@
         return m_overdue.next_due();
     }
 
+    /** Records that a send of a request is late. */
+    void send_late(const late_send& late, const route& terms, time_point now,
+                   gateway_commands& out);
     /** Returns the ages at which a send on this route is hedged or suspect. */
     straggler_ages ages_for(const route& terms) const;
 
@@ -136,6 +147,8 @@
     void observe_relayed(const exchange_row& row, const exchange_ended& ended,
                          time_point now, gateway_commands& out);
 
+    /** Returns the latency that is usual for a send of a route. */
+    duration usual_latency(const route& terms) const;
     std::string name_of_server(backend_server_id server) const;
 
     gateway_settings m_settings;
@@ -143,7 +156,8 @@
     server_choice& m_choice;
     server_limits& m_server_limits;
     cold_limits& m_cold_limits;
-    server_suspicions& m_suspicions;
+    server_conditions& m_conditions;
+    server_evidence& m_evidence;
     relay_peers& m_relay_peers;
     server_observer m_observer;
     route_latency_estimate m_latencies;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -30,17 +30,20 @@
                  time_point now)
     : m_members(settings.member, random, now), m_rates(m_members),
       m_directory(m_servers), m_server_limits(m_servers, m_members),
-      m_suspicions(m_servers), m_cold_limits(m_servers, m_members),
-      m_choice(m_servers, m_server_limits, m_cold_limits, random),
+      m_suspicions(m_servers), m_conditions(m_servers, m_members),
+      m_evidence(m_suspicions, m_conditions),
+      m_cold_limits(m_servers, m_members),
+      m_choice(m_servers, m_server_limits, m_cold_limits, m_conditions,
+               settings.member.self, random),
       m_relay_peers(m_members, random),
       m_sender(settings, m_servers, m_choice, m_server_limits, m_cold_limits,
-               m_suspicions, m_relay_peers),
+               m_conditions, m_evidence, m_relay_peers),
       m_crash_watch(m_servers, m_quarantine),
       m_admission(m_rates, m_waiting, m_quarantine, m_choice, random),
       m_peers(m_members, incarnation(random.next() | 1U), m_rates,
-              m_server_limits, m_quarantine, m_relay_peers, now),
+              m_server_limits, m_quarantine, m_conditions, m_relay_peers, now),
       m_relays(m_servers, random, m_sender, m_waiting, m_quarantine, m_peers),
-      m_runner(m_sender, m_relays, m_quarantine, m_waiting, m_suspicions)
+      m_runner(m_sender, m_relays, m_quarantine, m_waiting)
 {
 }
 
@@ -73,6 +76,7 @@
         m_quarantine.drop_expired(now);
         m_server_limits.drop_expired(now);
         m_cold_limits.drop_expired(now);
+        m_conditions.drop_expired(now, out);
         m_relay_peers.drop_silent(now);
         m_runner.serve_all_waiting(now, out);
     }
@@ -288,6 +292,7 @@
          m_directory.reported(report, now, out)) {
         m_crash_watch.server_started(server, now, out);
         m_server_limits.forget(server);
+        m_conditions.forget(server);
     }
     m_runner.serve_all_waiting(now, out);
 }
@@ -326,8 +331,9 @@
     m_peer_configuration.heard(datagram.from,
                                datagram.datagram.settings_version,
                                settings_version(), now);
-    m_suspicions.apply_remote(datagram.from, datagram.datagram.suspicions, now,
-                              out);
+    m_suspicions.apply_remote(datagram.datagram.suspicions, now);
+    m_conditions.apply_remote(datagram.datagram.suspicions, now, out);
+    m_conditions.apply_remote(datagram.datagram.conditions, now);
     m_server_limits.apply_remote(datagram.from, datagram.datagram.limits, now,
                                  out);
     m_quarantine.apply_remote(datagram.from, datagram.datagram.crashes,
@@ -361,11 +367,13 @@
 {
     gateway_datagram news;
     news.suspicions = m_suspicions.take_local_suspicions();
+    news.conditions = m_conditions.take_reports();
     news.limits = m_server_limits.take_reports(now);
     news.crashes = m_quarantine.take_reports(now);
     news.clearances = m_quarantine.take_clearances(now);
-    if (!news.suspicions.empty() || !news.limits.empty() ||
-        !news.crashes.empty() || !news.clearances.empty()) {
+    if (!news.suspicions.empty() || !news.conditions.empty() ||
+        !news.limits.empty() || !news.crashes.empty() ||
+        !news.clearances.empty()) {
         m_peers.broadcast(std::move(news), now, out);
     }
 }
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -11,7 +11,7 @@
 #include "core/relay_service.hpp"
 #include "core/request_runner.hpp"
 #include "systems/rates/token_waiters.hpp"
-#include "systems/servers/server_suspicions.hpp"
+#include "systems/servers/server_evidence.hpp"
 #include "systems/store/peer_configuration.hpp"
 
 namespace cranberrywood {
@@ -128,6 +128,8 @@
     server_directory m_directory;
     server_limits m_server_limits;
     server_suspicions m_suspicions;
+    server_conditions m_conditions;
+    server_evidence m_evidence;
     cold_limits m_cold_limits;
     server_choice m_choice;
     waiting_calls m_waiting;
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -12,6 +12,12 @@
 
 /** Time reserved to build an answer and to write it. */
 constexpr duration answer_write_time = 4ms;
+/**
+ * Fraction of the target latency reserved for what this VM cannot see: the
+ * request waits in the socket, and the answer behind the sends of another
+ * query.
+ */
+constexpr int unseen_delay_divisor = 10;
 /** Bounds of the retry delay given to a refused caller. */
 constexpr duration min_retry_after = 50ms;
 constexpr duration max_retry_after = 2s;
@@ -85,9 +91,11 @@
     request->arrived = asked.arrived;
     request->deadline =
         asked.arrived + std::min(asked.deadline, terms->timeout);
-    request->answer_at = asked.arrived + terms->target_latency -
-                         std::min(asked.network_time + answer_write_time,
-                                  terms->target_latency / 2);
+    request->answer_at =
+        asked.arrived + terms->target_latency -
+        std::min(asked.network_time + answer_write_time +
+                     terms->target_latency / unseen_delay_divisor,
+                 terms->target_latency / 2);
     if (outlasts_vm(*request, now)) {
         return refused_answer{refusal_reason::vm_stops, min_retry_after};
     }
--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -5,6 +5,7 @@
 #include "units/ids.hpp"
 #include "units/time.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -38,12 +39,39 @@
     duration term{0};
 };
 
+/** Reason for which a server is suspected. */
+enum class suspicion_cause : std::uint8_t
+{
+    /** A request is unanswered for longer than usual. */
+    late,
+    /** It refused a request without running it. */
+    refused,
+    /** A request or the connection to it failed. */
+    failed,
+};
+
 /** Reports a backend server that is late, refuses or fails. */
 struct server_suspicion
 {
     backend_server_id server;
     /** Time for which the server gets no first sends. */
     duration term{0};
+    suspicion_cause cause = suspicion_cause::late;
+    /** Time since the send that showed it; 0 from VMs of earlier versions. */
+    duration sent_age{0};
+};
+
+/** Reports that a backend server is impaired, or has recovered. */
+struct server_condition_report
+{
+    backend_server_id server;
+    bool impaired = false;
+    /** It fails requests or loses answers. */
+    bool failing = false;
+    /** Time in which it answers; 0 if not known. */
+    duration latency{0};
+    /** Time since the send that showed it. */
+    duration age{0};
 };
 
 /** Reports how many requests a second a server takes from all VMs. */
@@ -101,13 +129,15 @@
     std::vector<token_ask> asks;
     std::vector<token_grant> grants;
     std::vector<server_suspicion> suspicions;
+    std::vector<server_condition_report> conditions;
     std::vector<server_limit_report> limits;
     std::vector<crash_report> crashes;
     std::vector<crash_clearance> clearances;
 
     bool is_heartbeat() const
     {
-        return asks.empty() && grants.empty() && suspicions.empty();
+        return asks.empty() && grants.empty() && suspicions.empty() &&
+               conditions.empty();
     }
 };
 
--- a/src/core/gateway_peers.cpp
+++ b/src/core/gateway_peers.cpp
@@ -25,11 +25,13 @@
 
 gateway_peers::gateway_peers(member_directory& members, incarnation process,
                              rate_slices& rates, server_limits& limits,
-                             crash_quarantine& quarantine, relay_peers& relays,
+                             crash_quarantine& quarantine,
+                             server_conditions& conditions, relay_peers& relays,
                              time_point now)
     : m_process(process), m_rates(rates), m_limits(limits),
-      m_quarantine(quarantine), m_relay_peers(relays), m_members(members),
-      m_next_heartbeat(now), m_next_asks(now + ask_interval), m_news_budget(now)
+      m_quarantine(quarantine), m_conditions(conditions), m_relay_peers(relays),
+      m_members(members), m_next_heartbeat(now),
+      m_next_asks(now + ask_interval), m_news_budget(now)
 {
 }
 
@@ -87,6 +89,7 @@
     stamp(datagram, now);
     m_members.add_hints(datagram, now);
     datagram.limits = m_limits.reports_to_repeat(now);
+    datagram.conditions = m_conditions.reports_to_repeat(now);
     datagram.crashes = m_quarantine.reports_to_repeat(now);
     datagram.clearances = m_quarantine.clearances_to_repeat(now);
     return datagram;
--- a/src/core/gateway_peers.hpp
+++ b/src/core/gateway_peers.hpp
@@ -6,6 +6,7 @@
 #include "systems/members/relay_peers.hpp"
 #include "systems/queries/crash_quarantine.hpp"
 #include "systems/rates/rate_slices.hpp"
+#include "systems/servers/server_conditions.hpp"
 #include "systems/servers/server_limits.hpp"
 
 namespace cranberrywood {
@@ -19,8 +20,8 @@
 public:
     gateway_peers(member_directory& members, incarnation process,
                   rate_slices& rates, server_limits& limits,
-                  crash_quarantine& quarantine, relay_peers& relays,
-                  time_point now);
+                  crash_quarantine& quarantine, server_conditions& conditions,
+                  relay_peers& relays, time_point now);
 
     void received(const datagram_received& event, time_point now,
                   gateway_commands& out);
@@ -54,6 +55,7 @@
     rate_slices& m_rates;
     server_limits& m_limits;
     crash_quarantine& m_quarantine;
+    server_conditions& m_conditions;
     relay_peers& m_relay_peers;
     bool m_accepts_relays = true;
     std::uint64_t m_settings_version = 0;
--- a/src/core/request_runner.cpp
+++ b/src/core/request_runner.cpp
@@ -24,10 +24,9 @@
 
 request_runner::request_runner(call_sender& sender, const relay_service& relays,
                                const crash_quarantine& quarantine,
-                               waiting_calls& waiting,
-                               server_suspicions& suspicions)
+                               waiting_calls& waiting)
     : m_sender(sender), m_relays(relays), m_quarantine(quarantine),
-      m_waiting(waiting), m_suspicions(suspicions)
+      m_waiting(waiting)
 {
 }
 
@@ -314,9 +313,9 @@
                                        gateway_commands& out)
 {
     const straggler_ages ages = m_sender.ages_for(*request.terms);
-    for (const backend_server_id server :
-         take_late_servers(request, ages.suspicion, now)) {
-        m_suspicions.found(server, suspicion_cause::late, now, out);
+    for (const late_send& late :
+         take_late_sends(request, ages.suspicion, now)) {
+        m_sender.send_late(late, *request.terms, now, out);
     }
     for (const std::uint32_t call : calls_to_hedge(request, ages.hedge, now)) {
         service_call& c = request.calls[call];
--- a/src/core/request_runner.hpp
+++ b/src/core/request_runner.hpp
@@ -23,8 +23,7 @@
 {
 public:
     request_runner(call_sender& sender, const relay_service& relays,
-                   const crash_quarantine& quarantine, waiting_calls& waiting,
-                   server_suspicions& suspicions);
+                   const crash_quarantine& quarantine, waiting_calls& waiting);
 
     /** Starts a request whose caller has no other open request. */
     void start(std::unique_ptr<open_request> row, time_point now,
@@ -86,7 +85,6 @@
     const relay_service& m_relays;
     const crash_quarantine& m_quarantine;
     waiting_calls& m_waiting;
-    server_suspicions& m_suspicions;
     open_requests m_requests;
     due_queue<caller_token> m_due;
     /** When servers that wanted no requests take them again. */
--- a/src/systems/queries/stragglers.cpp
+++ b/src/systems/queries/stragglers.cpp
@@ -40,15 +40,15 @@
     return late;
 }
 
-std::vector<backend_server_id> take_late_servers(open_request& request,
-                                                 duration age, time_point now)
+std::vector<late_send> take_late_sends(open_request& request, duration age,
+                                       time_point now)
 {
-    std::vector<backend_server_id> late;
+    std::vector<late_send> late;
     for (service_call& call : request.calls) {
         for (call_send& send : call.sends) {
             if (send.open && !send.made_suspect && now - send.at >= age) {
                 send.made_suspect = true;
-                late.push_back(send.server);
+                late.push_back({send.server, send.at});
             }
         }
     }
--- a/src/systems/queries/stragglers.hpp
+++ b/src/systems/queries/stragglers.hpp
@@ -22,9 +22,16 @@
 std::vector<std::uint32_t> calls_to_hedge(const open_request& request,
                                           duration hedge_age, time_point now);
 
-/** Returns the servers of sends that became late, and marks these sends. */
-std::vector<backend_server_id> take_late_servers(open_request& request,
-                                                 duration age, time_point now);
+/** An unanswered send that became late. */
+struct late_send
+{
+    backend_server_id server;
+    time_point sent_at;
+};
+
+/** Returns the sends that became late, and marks them. */
+std::vector<late_send> take_late_sends(open_request& request, duration age,
+                                       time_point now);
 
 /** Returns when a request in flight must be checked next. */
 time_point next_check_time(const open_request& request,
--- a/src/systems/servers/cold_limits.cpp
+++ b/src/systems/servers/cold_limits.cpp
@@ -45,6 +45,11 @@
     return has_limit ? &found->second : nullptr;
 }
 
+bool cold_limits::has_limit(const server_row& row) const
+{
+    return find_limit(row.entry.service) != nullptr;
+}
+
 void cold_limits::refused(backend_server_id server, time_point now,
                           gateway_commands& out)
 {
--- a/src/systems/servers/cold_limits.hpp
+++ b/src/systems/servers/cold_limits.hpp
@@ -32,6 +32,8 @@
     void refused(backend_server_id server, time_point now,
                  gateway_commands& out);
 
+    /** Returns whether requests to the server are limited while it is cold. */
+    bool has_limit(const server_row& row) const;
     /** Returns when the server may get a request of this VM: now, or later. */
     time_point opens_at(const server_row& row, time_point now);
     /** Records that a request was sent. */
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -24,13 +24,17 @@
 constexpr duration connection_cost = 8ms;
 /** Cost factor of servers in the local data centre. */
 constexpr double own_data_centre_factor = 0.85;
+/** The preferred server is left for one that is cheaper by this factor. */
+constexpr double preference_factor = 1.6;
 
 } // namespace
 
 server_choice::server_choice(const server_table& servers,
                              const server_limits& limits, cold_limits& cold,
-                             random_source& random)
-    : m_servers(servers), m_limits(limits), m_cold(cold), m_random(random)
+                             server_conditions& conditions,
+                             const std::string& self, random_source& random)
+    : m_servers(servers), m_limits(limits), m_cold(cold),
+      m_conditions(conditions), m_self(stable_hash(self)), m_random(random)
 {
 }
 
@@ -67,18 +71,22 @@
         if (tried || !is_usable(row, now)) {
             continue;
         }
-        if (const time_point opens = opening_of(row, now); opens > now) {
+        const health_class health = health_of(row, now);
+        if (const time_point opens = opening_of(row, health, now);
+            opens > now) {
             reopens_at = std::min(opens, reopens_at.value_or(opens));
             continue;
         }
-        const health_class health = health_of(row, now);
-        if (criteria.extra && health != health_class::good) {
+        if (excludes(criteria, row, health)) {
             continue;
         }
         usable = true;
         if (row.in_flight() >= criteria.max_in_flight) {
             continue;
         }
+        if (criteria.may_probe && m_conditions.probe_due(id, now)) {
+            return id;
+        }
         if (!best.empty() && health > best.front().health) {
             continue;
         }
@@ -90,7 +98,8 @@
                         cost_of(row, criteria.own_data_centre, typical, now)});
     }
     if (!best.empty()) {
-        return choose_of(std::move(best));
+        return criteria.keep_to_two ? choose_preferred(std::move(best))
+                                    : choose_of(std::move(best));
     }
     if (usable) {
         return all_at_capacity{};
@@ -113,6 +122,27 @@
     return earliest;
 }
 
+// In a large fleet most suspicions are of ordinary pauses, so a suspect server
+// mostly answers an extra send sooner than the one that is late.
+bool server_choice::excludes(const choice_criteria& criteria,
+                             const server_row& row, health_class health) const
+{
+    if (!criteria.extra || health == health_class::good) {
+        return false;
+    }
+    const bool limited = health == health_class::cold && m_cold.has_limit(row);
+    return !criteria.keep_to_two || limited;
+}
+
+time_point server_choice::opening_of(const server_row& row, health_class health,
+                                     time_point now) const
+{
+    const time_point opens = opening_of(row, now);
+    return health == health_class::impaired
+               ? std::max(opens, m_conditions.opens_at(row.entry.id, now))
+               : opens;
+}
+
 time_point server_choice::opening_of(const server_row& row,
                                      time_point now) const
 {
@@ -142,6 +172,26 @@
                                                            : other.id;
 }
 
+// If a VM's part of a server's connections is one, the fleet is large, and a VM
+// sends to a server about once a second. It keeps to its own server of a shard
+// and to one other, which differs from VM to VM, so that it keeps connections
+// to two servers and each server has those of some VMs only.
+backend_server_id
+server_choice::choose_preferred(std::vector<candidate> best) const
+{
+    const auto order = [&](const candidate& c) {
+        return std::make_pair(!c.local, stable_hash(m_self, c.id.value()));
+    };
+    std::sort(best.begin(), best.end(),
+              [&](const candidate& a, const candidate& b) {
+                  return order(a) < order(b);
+              });
+    const candidate& first = best.front();
+    const bool keep =
+        best.size() == 1 || first.cost <= best[1].cost * preference_factor;
+    return keep ? first.id : best[1].id;
+}
+
 // A small random factor, so that the slower of two servers is tried again once
 // it may have recovered.
 double server_choice::random_cost_factor() const
@@ -153,6 +203,9 @@
 server_choice::health_class server_choice::health_of(const server_row& row,
                                                      time_point now) const
 {
+    if (m_conditions.is_impaired(row.entry.id, now)) {
+        return health_class::impaired;
+    }
     if (now < row.avoid_until || now < row.suspected_until ||
         is_suspect(row, now)) {
         return health_class::suspect;
@@ -173,6 +226,10 @@
         expected +=
             (static_cast<double>(row.latency.count()) - expected) * weight;
     }
+    if (m_conditions.is_impaired(row.entry.id, now)) {
+        const duration known = m_conditions.latency(row.entry.id);
+        expected = std::max(expected, static_cast<double>(known.count()));
+    }
     const double factor =
         row.entry.data_centre == own ? own_data_centre_factor : 1.0;
     const bool connects = now >= row.connected_until || row.in_flight() > 0;
--- a/src/systems/servers/server_choice.hpp
+++ b/src/systems/servers/server_choice.hpp
@@ -4,6 +4,7 @@
 #include "core/random_source.hpp"
 #include "systems/servers/cold_limits.hpp"
 #include "systems/servers/evacuated_data_centres.hpp"
+#include "systems/servers/server_conditions.hpp"
 #include "systems/servers/server_limits.hpp"
 #include "tables/server_table.hpp"
 
@@ -22,8 +23,12 @@
     std::uint32_t max_in_flight = 1;
     /** Backend servers that were already tried and are excluded. */
     std::vector<backend_server_id> tried;
-    /** An extra send, for which suspect and cold servers are excluded. */
+    /** An extra send, for which servers that are no help are excluded. */
     bool extra = false;
+    /** The send may probe an impaired server. */
+    bool may_probe = false;
+    /** The VM keeps to two servers of a service while they are good. */
+    bool keep_to_two = false;
 };
 
 /** No usable backend server takes a request now. */
@@ -45,16 +50,18 @@
     std::variant<backend_server_id, all_at_capacity, no_usable_server>;
 
 /**
- * Selects the backend server for one send from this VM's observations. Of the
- * best health class (good, else cold, else suspect) it draws two at random, the
- * first from the VM's own data centre if possible, and takes the one that is
- * expected to answer sooner.
+ * Selects the backend server for one send from what this VM knows. Of the best
+ * health class (good, else cold, else suspect, else impaired) it compares two
+ * servers and takes the one that is expected to answer sooner: two drawn at
+ * random, the first from the VM's own data centre if possible, or, in a large
+ * fleet, always the same two.
  */
 class server_choice
 {
 public:
     server_choice(const server_table& servers, const server_limits& limits,
-                  cold_limits& cold, random_source& random);
+                  cold_limits& cold, server_conditions& conditions,
+                  const std::string& self, random_source& random);
 
     /** Returns the data centres whose servers get no requests. */
     evacuated_data_centres& evacuations()
@@ -82,6 +89,7 @@
         good,
         cold,
         suspect,
+        impaired,
     };
     struct candidate
     {
@@ -94,7 +102,13 @@
 
     /** Returns when a usable server may get a request. */
     time_point opening_of(const server_row& row, time_point now) const;
+    /** Returns when it may get one, by its condition too. */
+    time_point opening_of(const server_row& row, health_class health,
+                          time_point now) const;
     backend_server_id choose_of(std::vector<candidate> best) const;
+    backend_server_id choose_preferred(std::vector<candidate> best) const;
+    bool excludes(const choice_criteria& criteria, const server_row& row,
+                  health_class health) const;
     double random_cost_factor() const;
     health_class health_of(const server_row& row, time_point now) const;
     double cost_of(const server_row& row, data_centre_id own, duration typical,
@@ -104,6 +118,9 @@
     const server_table& m_servers;
     const server_limits& m_limits;
     cold_limits& m_cold;
+    server_conditions& m_conditions;
+    /** Hash of this VM, by which it prefers servers. */
+    std::uint64_t m_self;
     random_source& m_random;
     evacuated_data_centres m_evacuated;
 };
--- /dev/null
+++ b/src/systems/servers/server_conditions.cpp
@@ -0,0 +1,355 @@
+#include "systems/servers/server_conditions.hpp"
+
+#include "core/log_codes.hpp"
+#include "core/request_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberrywood {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Two sends this far apart cannot both have met one ordinary pause. */
+constexpr duration longest_pause = 300ms;
+/** Evidence further apart than this does not belong to one impairment. */
+constexpr duration evidence_period = 1s;
+/** Late sends beyond a pause that make a server impaired. */
+constexpr std::uint32_t confirmations_needed = 3;
+/** Unsuccessful sends within the evidence period that do so. */
+constexpr std::uint32_t failures_needed = 2;
+/**
+ * Usual answers in a row after which a server has recovered. A server that
+ * loses some answers gives usual ones in between.
+ */
+constexpr std::uint32_t normal_after_slow = 2;
+constexpr std::uint32_t normal_after_failing = 4;
+/** An impairment without new evidence ends after this time. */
+constexpr duration evidence_life = 3s;
+/** Probes that an impaired server gets from all VMs together. */
+constexpr double probes_per_second = 2.0;
+/** VMs that share the probes, so that some may be gone. */
+constexpr double probing_vms = 4.0;
+/** At 20 bytes each, these leave a heartbeat in one packet. */
+constexpr std::size_t reports_per_heartbeat = 8;
+constexpr duration learnt_log_interval = 1s;
+
+} // namespace
+
+server_conditions::server_conditions(const server_table& servers,
+                                     const member_directory& members)
+    : m_servers(servers), m_members(members), m_probers(members)
+{
+}
+
+void server_conditions::observe(const server_observation& seen, time_point now,
+                                gateway_commands& out)
+{
+    const server_row* row = m_servers.find(seen.server);
+    if (row != nullptr && !sends_often(*row)) {
+        add(seen, now, out);
+    }
+}
+
+void server_conditions::apply_remote(
+    const std::vector<server_suspicion>& suspicions, time_point now,
+    gateway_commands& out)
+{
+    for (const server_suspicion& s : suspicions) {
+        const server_row* row = m_servers.find(s.server);
+        const bool timed =
+            s.sent_age > duration(0) && s.sent_age <= evidence_life;
+        const bool refused = s.cause == suspicion_cause::refused;
+        if (row != nullptr && timed && !refused && !sends_often(*row)) {
+            add({s.server, s.cause, now - s.sent_age, duration(0), duration(0)},
+                now, out);
+        }
+    }
+}
+
+void server_conditions::add(const server_observation& seen, time_point now,
+                            gateway_commands& out)
+{
+    const auto [found, added] = m_states.try_emplace(seen.server);
+    state& s = found->second;
+    const bool unrelated = seen.sent_at - s.bad_since > evidence_period;
+    if (added || (!s.impaired && unrelated)) {
+        s = state();
+        s.bad_since = seen.sent_at;
+    }
+    if (seen.sent_at > s.bad_last) {
+        s.bad_last = seen.sent_at;
+        s.normal_in_row = 0;
+    }
+    count_evidence(s, seen);
+    const bool confirmed = s.failures >= failures_needed ||
+                           s.confirmations >= confirmations_needed;
+    if (!s.impaired && confirmed) {
+        impair(s);
+        log_change(seen.server, s, now, out);
+        m_news.push_back(report_of(seen.server, s, now));
+    }
+}
+
+// An answer that came late was counted when it was due; it only adds how long
+// the server takes.
+void server_conditions::count_evidence(state& s, const server_observation& seen)
+{
+    if (seen.latency > duration(0)) {
+        s.latency = s.latency == duration(0) ? seen.latency
+                                             : (s.latency + seen.latency) / 2;
+    }
+    if (seen.cause == suspicion_cause::failed) {
+        ++s.failures;
+        s.failing = s.failing || s.failures >= failures_needed;
+    } else if (seen.excess >= longest_pause) {
+        s.confirmations = confirmations_needed;
+    } else if (seen.latency == duration(0) &&
+               seen.sent_at - s.bad_since >= longest_pause) {
+        ++s.confirmations;
+    }
+}
+
+void server_conditions::observe_normal(backend_server_id server,
+                                       time_point sent_at, time_point now,
+                                       gateway_commands& out)
+{
+    const auto found = m_states.find(server);
+    if (found == m_states.end() || sent_at <= found->second.bad_last) {
+        return;
+    }
+    state& s = found->second;
+    if (!s.impaired) {
+        m_states.erase(found);
+        return;
+    }
+    const std::uint32_t needed =
+        s.failing ? normal_after_failing : normal_after_slow;
+    if (++s.normal_in_row < needed) {
+        return;
+    }
+    s.impaired = false;
+    log_change(server, s, now, out);
+    m_news.push_back(report_of(server, s, sent_at));
+    m_news.back().age = now - sent_at;
+    recover(server);
+}
+
+void server_conditions::apply_remote(
+    const std::vector<server_condition_report>& reports, time_point now)
+{
+    for (const server_condition_report& report : reports) {
+        const server_row* row = m_servers.find(report.server);
+        const bool usable = row != nullptr && report.age >= duration(0) &&
+                            report.age <= evidence_life &&
+                            report.latency >= duration(0);
+        if (!usable || sends_often(*row)) {
+            ++m_learnt.ignored;
+            continue;
+        }
+        apply_report(report, now);
+    }
+}
+
+// The later evidence wins, so reports may come in any order and more than once.
+void server_conditions::apply_report(const server_condition_report& report,
+                                     time_point now)
+{
+    const time_point shown_at = now - report.age;
+    const auto found = m_states.find(report.server);
+    const bool known = found != m_states.end() && found->second.impaired;
+    if (!report.impaired) {
+        if (known && shown_at > found->second.bad_last) {
+            ++m_learnt.recovered;
+            recover(report.server);
+        }
+        return;
+    }
+    state& s = m_states[report.server];
+    if (shown_at > s.bad_last) {
+        s.bad_last = shown_at;
+        s.latency = report.latency;
+        s.failing = report.failing;
+    }
+    if (!known) {
+        ++m_learnt.impaired;
+        impair(s);
+    }
+}
+
+void server_conditions::impair(state& s)
+{
+    s.impaired = true;
+    s.normal_in_row = 0;
+    ++m_impaired;
+}
+
+void server_conditions::recover(backend_server_id server)
+{
+    m_states.erase(server);
+    --m_impaired;
+}
+
+bool server_conditions::is_impaired(backend_server_id server,
+                                    time_point now) const
+{
+    const auto found = m_states.find(server);
+    return found != m_states.end() && found->second.impaired &&
+           now - found->second.bad_last <= evidence_life;
+}
+
+duration server_conditions::latency(backend_server_id server) const
+{
+    const auto found = m_states.find(server);
+    return found == m_states.end() ? duration(0) : found->second.latency;
+}
+
+bool server_conditions::needs_evidence(const server_observation& seen) const
+{
+    const auto found = m_states.find(seen.server);
+    if (found == m_states.end() || found->second.impaired) {
+        return false;
+    }
+    const state& s = found->second;
+    return seen.cause == suspicion_cause::failed
+               ? s.failures > 0
+               : seen.sent_at - s.bad_since >= longest_pause;
+}
+
+bool server_conditions::probe_due(backend_server_id server, time_point now)
+{
+    const auto found = m_states.find(server);
+    return found != m_states.end() && found->second.impaired &&
+           now >= found->second.next_probe &&
+           m_probers.spacing(server, probes_per_second, probing_vms, now)
+               .has_value();
+}
+
+time_point server_conditions::opens_at(backend_server_id server,
+                                       time_point now) const
+{
+    const auto found = m_states.find(server);
+    const bool paced = found != m_states.end() && found->second.impaired;
+    return paced ? std::max(now, found->second.next_use) : now;
+}
+
+void server_conditions::record_sent(backend_server_id server, time_point now)
+{
+    const auto found = m_states.find(server);
+    if (found == m_states.end() || !found->second.impaired) {
+        return;
+    }
+    state& s = found->second;
+    s.next_use = now + spacing_by_capacity(server, s, now);
+    if (const auto spacing =
+            m_probers.spacing(server, probes_per_second, probing_vms, now)) {
+        s.next_probe = now + *spacing;
+    }
+}
+
+// A server with S slots that answers in L takes S / L requests a second; more
+// would wait in its queue until all are late. What a failing server takes is
+// not known.
+duration server_conditions::spacing_by_capacity(backend_server_id server,
+                                                const state& s,
+                                                time_point now) const
+{
+    const server_row* row = m_servers.find(server);
+    if (row == nullptr || s.failing) {
+        return duration(0);
+    }
+    const duration::rep slots = std::max(1U, row->entry.slots);
+    return s.latency * m_members.fleet_size(now) / slots;
+}
+
+void server_conditions::forget(backend_server_id server)
+{
+    const auto found = m_states.find(server);
+    if (found != m_states.end()) {
+        m_impaired -= found->second.impaired ? 1 : 0;
+        m_states.erase(found);
+    }
+    m_probers.forget(server);
+}
+
+void server_conditions::drop_expired(time_point now, gateway_commands& out)
+{
+    for (auto it = m_states.begin(); it != m_states.end();) {
+        const bool expired = now - it->second.bad_last > evidence_life ||
+                             m_servers.find(it->first) == nullptr;
+        if (expired && it->second.impaired) {
+            --m_impaired;
+            ++m_learnt.recovered;
+        }
+        it = expired ? m_states.erase(it) : std::next(it);
+    }
+    log_learnt(now, out);
+}
+
+std::vector<server_condition_report> server_conditions::take_reports()
+{
+    return std::exchange(m_news, {});
+}
+
+std::vector<server_condition_report>
+server_conditions::reports_to_repeat(time_point now)
+{
+    std::vector<server_condition_report> reports;
+    for (const auto& [server, s] : m_states) {
+        if (is_impaired(server, now)) {
+            reports.push_back(report_of(server, s, now));
+        }
+    }
+    if (reports.size() > reports_per_heartbeat) {
+        const std::size_t first = m_next_repeated % reports.size();
+        m_next_repeated += reports_per_heartbeat;
+        std::rotate(reports.begin(),
+                    reports.begin() + static_cast<std::ptrdiff_t>(first),
+                    reports.end());
+        reports.resize(reports_per_heartbeat);
+    }
+    return reports;
+}
+
+server_condition_report server_conditions::report_of(backend_server_id server,
+                                                     const state& s,
+                                                     time_point now)
+{
+    return {server, s.impaired, s.failing, s.latency, now - s.bad_last};
+}
+
+void server_conditions::log_change(backend_server_id server, const state& s,
+                                   time_point now, gateway_commands& out) const
+{
+    const server_row* row = m_servers.find(server);
+    out.push_back(gateway_log{
+        static_cast<std::uint32_t>(log_code::server_condition_changed),
+        "server=" + (row == nullptr ? "gone" : row->entry.name) +
+            " impaired=" + (s.impaired ? "yes" : "no") +
+            " cause=" + (s.failing ? "failed" : "late") +
+            " latency_ms=" + milliseconds_text(s.latency) +
+            " evidence_age_ms=" + milliseconds_text(now - s.bad_last) +
+            " late=" + std::to_string(s.confirmations) +
+            " failures=" + std::to_string(s.failures)});
+}
+
+// Peers report many changes at once, so these share a line.
+void server_conditions::log_learnt(time_point now, gateway_commands& out)
+{
+    const bool any = m_learnt.impaired + m_learnt.recovered > 0;
+    if (!any || now < m_next_learnt_log) {
+        return;
+    }
+    m_next_learnt_log = now + learnt_log_interval;
+    const learnt_changes learnt = std::exchange(m_learnt, {});
+    out.push_back(gateway_log{
+        static_cast<std::uint32_t>(log_code::server_conditions_learnt),
+        "impaired=" + std::to_string(m_impaired) +
+            " added=" + std::to_string(learnt.impaired) +
+            " ended=" + std::to_string(learnt.recovered) +
+            " ignored=" + std::to_string(learnt.ignored)});
+}
+
+} // namespace cranberrywood
--- a/src/systems/servers/server_suspicions.cpp
+++ b/src/systems/servers/server_suspicions.cpp
@@ -23,12 +23,6 @@
 /** A new suspicion this soon after a term ends doubles the term. */
 constexpr duration repeat_period = 500ms;
 constexpr std::uint32_t max_in_row = 5;
-/**
- * A VM that sends to a server more often than this relies on its own
- * observations: its latencies are up to date, and other VMs send as often.
- */
-constexpr duration frequent_send_gap = 300ms;
-
 const char* name_of(suspicion_cause cause)
 {
     switch (cause) {
@@ -48,15 +42,15 @@
     return std::clamp(send_gap / 2, first_term, max_first_fault_term);
 }
 
-void log(const server_row& row, const std::string& source, const char* cause,
-         duration term, gateway_commands& out)
+void log(const server_row& row, const char* cause, duration term,
+         gateway_commands& out)
 {
-    out.push_back(gateway_log{
-        static_cast<std::uint32_t>(log_code::server_suspected),
-        "server=" + row.entry.name + " by=" + source + " cause=" + cause +
-            " in_row=" + std::to_string(row.suspicions_in_row) +
-            " term_ms=" + milliseconds_text(term) +
-            " send_gap_ms=" + milliseconds_text(row.send_gap)});
+    out.push_back(
+        gateway_log{static_cast<std::uint32_t>(log_code::server_suspected),
+                    "server=" + row.entry.name + " cause=" + cause +
+                        " in_row=" + std::to_string(row.suspicions_in_row) +
+                        " term_ms=" + milliseconds_text(term) +
+                        " send_gap_ms=" + milliseconds_text(row.send_gap)});
 }
 
 } // namespace
@@ -65,35 +59,41 @@
 {
 }
 
-void server_suspicions::found(backend_server_id server, suspicion_cause cause,
-                              time_point now, gateway_commands& out)
+void server_suspicions::found(const server_observation& seen,
+                              bool needs_evidence, time_point now,
+                              gateway_commands& out)
 {
-    server_row* row = m_servers.find(server);
-    const bool frequent = row != nullptr && row->send_gap > duration(0) &&
-                          row->send_gap < frequent_send_gap;
-    if (row == nullptr || frequent || now < row->suspected_until) {
+    server_row* row = m_servers.find(seen.server);
+    if (row == nullptr || sends_often(*row)) {
+        return;
+    }
+    const duration sent_age = now - seen.sent_at;
+    if (now < row->suspected_until) {
+        if (needs_evidence) {
+            m_unannounced.push_back({seen.server, row->suspected_until - now,
+                                     seen.cause, sent_age});
+        }
         return;
     }
     const bool repeated = now - row->suspected_until < repeat_period;
     const std::uint32_t previous = repeated ? row->suspicions_in_row : 0;
-    const duration first = cause == suspicion_cause::late
+    const duration first = seen.cause == suspicion_cause::late
                                ? first_term
                                : first_fault_term(row->send_gap);
     const duration term = std::min(first * (1U << previous), max_term);
     extend_suspicion(*row, term, now);
-    log(*row, "self", name_of(cause), term, out);
-    m_unannounced.push_back({server, term});
+    log(*row, name_of(seen.cause), term, out);
+    m_unannounced.push_back({seen.server, term, seen.cause, sent_age});
 }
 
 void server_suspicions::apply_remote(
-    const std::string& peer, const std::vector<server_suspicion>& suspicions,
-    time_point now, gateway_commands& out)
+    const std::vector<server_suspicion>& suspicions, time_point now)
 {
     for (const server_suspicion& s : suspicions) {
         server_row* row = m_servers.find(s.server);
         const duration term = std::clamp(s.term, duration(0), max_term);
-        if (row != nullptr && extend_suspicion(*row, term, now)) {
-            log(*row, peer, "told", term, out);
+        if (row != nullptr) {
+            extend_suspicion(*row, term, now);
         }
     }
 }
@@ -105,11 +105,11 @@
 
 // The count of consecutive suspicions is derived from the term, so that all VMs
 // continue from the same count, whichever VM suspected the server first.
-bool server_suspicions::extend_suspicion(server_row& row, duration term,
+void server_suspicions::extend_suspicion(server_row& row, duration term,
                                          time_point now)
 {
     if (now + term <= row.suspected_until) {
-        return false;
+        return;
     }
     row.suspected_until = now + term;
     row.suspicions_in_row = 1;
@@ -117,7 +117,6 @@
            first_term * (1U << row.suspicions_in_row) <= term) {
         ++row.suspicions_in_row;
     }
-    return true;
 }
 
 } // namespace cranberrywood
--- a/src/systems/servers/server_suspicions.hpp
+++ b/src/systems/servers/server_suspicions.hpp
@@ -2,21 +2,11 @@
 #define CRANBERRYWOOD_SYSTEMS_SERVERS_SERVER_SUSPICIONS_HPP
 
 #include "core/gateway_messages.hpp"
+#include "systems/servers/server_observation.hpp"
 #include "tables/server_table.hpp"
 
 namespace cranberrywood {
 
-/** Reason for which a server is suspected. */
-enum class suspicion_cause : std::uint8_t
-{
-    /** A request is unanswered for longer than usual. */
-    late,
-    /** It refused a request without running it. */
-    refused,
-    /** A request or the connection to it failed. */
-    failed,
-};
-
 /**
  * Suspects backend servers that are late, refuse or fail. During the term of a
  * suspicion a server gets no first sends while others are available; a server
@@ -29,21 +19,22 @@
 public:
     explicit server_suspicions(server_table& servers);
 
-    /** Records that a send of this VM to the server was late or unsuccessful.
+    /**
+     * Records that a send of this VM was late or unsuccessful. A suspected
+     * server is announced again only if its condition needs the evidence.
      */
-    void found(backend_server_id server, suspicion_cause cause, time_point now,
-               gateway_commands& out);
+    void found(const server_observation& seen, bool needs_evidence,
+               time_point now, gateway_commands& out);
 
     /** Applies suspicions announced by a peer. */
-    void apply_remote(const std::string& peer,
-                      const std::vector<server_suspicion>& suspicions,
-                      time_point now, gateway_commands& out);
+    void apply_remote(const std::vector<server_suspicion>& suspicions,
+                      time_point now);
 
     /** Takes the suspicions to announce to the other VMs. */
     std::vector<server_suspicion> take_local_suspicions();
 
 private:
-    static bool extend_suspicion(server_row& row, duration term,
+    static void extend_suspicion(server_row& row, duration term,
                                  time_point now);
 
     server_table& m_servers;
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -32,6 +32,16 @@
 struct server_suspicion {
   1: i64 server
   2: i64 term
+  3: i8 cause
+  4: i64 sent_age
+}
+
+struct server_condition_report {
+  1: i64 server
+  2: bool impaired
+  3: bool failing
+  4: i32 latency_ms
+  5: i32 age_ms
 }
 
 struct crash_report {
@@ -73,6 +83,7 @@
   13: i64 settings_version
   14: bool fleet_unconfirmed
   15: i64 data_centre
+  16: list<server_condition_report> conditions
 }
 
 struct mirrored_item {
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -50,6 +50,19 @@
 {
     copy(c.server, w.server);
     copy(c.term, w.term);
+    copy.choice(c.cause, w.cause, suspicion_cause::failed);
+    copy(c.sent_age, w.sent_age);
+}
+
+template <class D>
+void copy_fields(D& copy, typename D::template core<server_condition_report> c,
+                 typename D::template wired<wire::server_condition_report> w)
+{
+    copy(c.server, w.server);
+    copy(c.impaired, w.impaired);
+    copy(c.failing, w.failing);
+    copy.milliseconds(c.latency, w.latency_ms);
+    copy.milliseconds(c.age, w.age_ms);
 }
 
 template <class D>
@@ -99,6 +112,7 @@
     copy(c.asks, w.asks);
     copy(c.grants, w.grants);
     copy(c.suspicions, w.suspicions);
+    copy(c.conditions, w.conditions);
     copy(c.crashes, w.crashes);
     copy(c.clearances, w.clearances);
     copy(c.limits, w.limits);
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -533,6 +533,14 @@
 void server_suspicion::__set_term(const int64_t val) {
   this->term = val;
 }
+
+void server_suspicion::__set_cause(const int8_t val) {
+  this->cause = val;
+}
+
+void server_suspicion::__set_sent_age(const int64_t val) {
+  this->sent_age = val;
+}
 std::ostream& operator<<(std::ostream& out, const server_suspicion& obj)
 {
   obj.printTo(out);
@@ -577,6 +585,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->cause);
+          this->__isset.cause = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_age);
+          this->__isset.sent_age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -602,6 +626,14 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cause", ::apache::thrift::protocol::T_BYTE, 3);
+  xfer += oprot->writeByte(this->cause);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_age", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sent_age);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -611,17 +643,23 @@
   using ::std::swap;
   swap(a.server, b.server);
   swap(a.term, b.term);
+  swap(a.cause, b.cause);
+  swap(a.sent_age, b.sent_age);
   swap(a.__isset, b.__isset);
 }
 
 server_suspicion::server_suspicion(const server_suspicion& other8) noexcept {
   server = other8.server;
   term = other8.term;
+  cause = other8.cause;
+  sent_age = other8.sent_age;
   __isset = other8.__isset;
 }
 server_suspicion& server_suspicion::operator=(const server_suspicion& other9) noexcept {
   server = other9.server;
   term = other9.term;
+  cause = other9.cause;
+  sent_age = other9.sent_age;
   __isset = other9.__isset;
   return *this;
 }
@@ -630,6 +668,180 @@
   out << "server_suspicion(";
   out << "server=" << to_string(server);
   out << ", " << "term=" << to_string(term);
+  out << ", " << "cause=" << to_string(cause);
+  out << ", " << "sent_age=" << to_string(sent_age);
+  out << ")";
+}
+
+
+server_condition_report::~server_condition_report() noexcept {
+}
+
+
+void server_condition_report::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void server_condition_report::__set_impaired(const bool val) {
+  this->impaired = val;
+}
+
+void server_condition_report::__set_failing(const bool val) {
+  this->failing = val;
+}
+
+void server_condition_report::__set_latency_ms(const int32_t val) {
+  this->latency_ms = val;
+}
+
+void server_condition_report::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const server_condition_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t server_condition_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->impaired);
+          this->__isset.impaired = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->failing);
+          this->__isset.failing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->latency_ms);
+          this->__isset.latency_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t server_condition_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("server_condition_report");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("impaired", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->impaired);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failing", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->failing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("latency_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->latency_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(server_condition_report &a, server_condition_report &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.impaired, b.impaired);
+  swap(a.failing, b.failing);
+  swap(a.latency_ms, b.latency_ms);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+server_condition_report::server_condition_report(const server_condition_report& other10) noexcept {
+  server = other10.server;
+  impaired = other10.impaired;
+  failing = other10.failing;
+  latency_ms = other10.latency_ms;
+  age_ms = other10.age_ms;
+  __isset = other10.__isset;
+}
+server_condition_report& server_condition_report::operator=(const server_condition_report& other11) noexcept {
+  server = other11.server;
+  impaired = other11.impaired;
+  failing = other11.failing;
+  latency_ms = other11.latency_ms;
+  age_ms = other11.age_ms;
+  __isset = other11.__isset;
+  return *this;
+}
+void server_condition_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "server_condition_report(";
+  out << "server=" << to_string(server);
+  out << ", " << "impaired=" << to_string(impaired);
+  out << ", " << "failing=" << to_string(failing);
+  out << ", " << "latency_ms=" << to_string(latency_ms);
+  out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
 }
 
@@ -794,23 +1006,23 @@
   swap(a.__isset, b.__isset);
 }
 
-crash_report::crash_report(const crash_report& other10) noexcept {
-  request_print = other10.request_print;
-  server = other10.server;
-  service_id = other10.service_id;
-  sent_age = other10.sent_age;
-  lost_age = other10.lost_age;
-  strike = other10.strike;
-  __isset = other10.__isset;
+crash_report::crash_report(const crash_report& other12) noexcept {
+  request_print = other12.request_print;
+  server = other12.server;
+  service_id = other12.service_id;
+  sent_age = other12.sent_age;
+  lost_age = other12.lost_age;
+  strike = other12.strike;
+  __isset = other12.__isset;
 }
-crash_report& crash_report::operator=(const crash_report& other11) noexcept {
-  request_print = other11.request_print;
-  server = other11.server;
-  service_id = other11.service_id;
-  sent_age = other11.sent_age;
-  lost_age = other11.lost_age;
-  strike = other11.strike;
-  __isset = other11.__isset;
+crash_report& crash_report::operator=(const crash_report& other13) noexcept {
+  request_print = other13.request_print;
+  server = other13.server;
+  service_id = other13.service_id;
+  sent_age = other13.sent_age;
+  lost_age = other13.lost_age;
+  strike = other13.strike;
+  __isset = other13.__isset;
   return *this;
 }
 void crash_report::printTo(std::ostream& out) const {
@@ -935,17 +1147,17 @@
   swap(a.__isset, b.__isset);
 }
 
-crash_clearance::crash_clearance(const crash_clearance& other12) noexcept {
-  request_print = other12.request_print;
-  service_id = other12.service_id;
-  sent_age = other12.sent_age;
-  __isset = other12.__isset;
+crash_clearance::crash_clearance(const crash_clearance& other14) noexcept {
+  request_print = other14.request_print;
+  service_id = other14.service_id;
+  sent_age = other14.sent_age;
+  __isset = other14.__isset;
 }
-crash_clearance& crash_clearance::operator=(const crash_clearance& other13) noexcept {
-  request_print = other13.request_print;
-  service_id = other13.service_id;
-  sent_age = other13.sent_age;
-  __isset = other13.__isset;
+crash_clearance& crash_clearance::operator=(const crash_clearance& other15) noexcept {
+  request_print = other15.request_print;
+  service_id = other15.service_id;
+  sent_age = other15.sent_age;
+  __isset = other15.__isset;
   return *this;
 }
 void crash_clearance::printTo(std::ostream& out) const {
@@ -1084,19 +1296,19 @@
   swap(a.__isset, b.__isset);
 }
 
-server_limit_report::server_limit_report(const server_limit_report& other14) noexcept {
-  server = other14.server;
-  limited = other14.limited;
-  milli_per_second = other14.milli_per_second;
-  age = other14.age;
-  __isset = other14.__isset;
+server_limit_report::server_limit_report(const server_limit_report& other16) noexcept {
+  server = other16.server;
+  limited = other16.limited;
+  milli_per_second = other16.milli_per_second;
+  age = other16.age;
+  __isset = other16.__isset;
 }
-server_limit_report& server_limit_report::operator=(const server_limit_report& other15) noexcept {
-  server = other15.server;
-  limited = other15.limited;
-  milli_per_second = other15.milli_per_second;
-  age = other15.age;
-  __isset = other15.__isset;
+server_limit_report& server_limit_report::operator=(const server_limit_report& other17) noexcept {
+  server = other17.server;
+  limited = other17.limited;
+  milli_per_second = other17.milli_per_second;
+  age = other17.age;
+  __isset = other17.__isset;
   return *this;
 }
 void server_limit_report::printTo(std::ostream& out) const {
@@ -1173,6 +1385,10 @@
 void gateway_datagram::__set_data_centre(const int64_t val) {
   this->data_centre = val;
 }
+
+void gateway_datagram::__set_conditions(const std::vector<server_condition_report> & val) {
+  this->conditions = val;
+}
 std::ostream& operator<<(std::ostream& out, const gateway_datagram& obj)
 {
   obj.printTo(out);
@@ -1229,14 +1445,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->members.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->members.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += this->members[_i20].read(iprot);
+              xfer += this->members[_i22].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1249,14 +1465,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->asks.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->asks.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              xfer += this->asks[_i25].read(iprot);
+              xfer += this->asks[_i27].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1269,14 +1485,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->grants.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->grants.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->grants[_i30].read(iprot);
+              xfer += this->grants[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1289,14 +1505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->suspicions.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->suspicions.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->suspicions[_i35].read(iprot);
+              xfer += this->suspicions[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1309,14 +1525,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->packed_members.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->packed_members.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->packed_members.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->packed_members[_i40].read(iprot);
+              xfer += this->packed_members[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1329,14 +1545,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->crashes.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->crashes.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->crashes[_i45].read(iprot);
+              xfer += this->crashes[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1349,14 +1565,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->clearances.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->clearances.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->clearances.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->clearances[_i50].read(iprot);
+              xfer += this->clearances[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1369,14 +1585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->limits.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->limits.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->limits[_i55].read(iprot);
+              xfer += this->limits[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1417,6 +1633,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->conditions.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->conditions.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += this->conditions[_i62].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.conditions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1449,10 +1685,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<member_hint> ::const_iterator _iter56;
-    for (_iter56 = this->members.begin(); _iter56 != this->members.end(); ++_iter56)
+    std::vector<member_hint> ::const_iterator _iter63;
+    for (_iter63 = this->members.begin(); _iter63 != this->members.end(); ++_iter63)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1461,10 +1697,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<token_ask> ::const_iterator _iter57;
-    for (_iter57 = this->asks.begin(); _iter57 != this->asks.end(); ++_iter57)
+    std::vector<token_ask> ::const_iterator _iter64;
+    for (_iter64 = this->asks.begin(); _iter64 != this->asks.end(); ++_iter64)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1473,10 +1709,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<token_grant> ::const_iterator _iter58;
-    for (_iter58 = this->grants.begin(); _iter58 != this->grants.end(); ++_iter58)
+    std::vector<token_grant> ::const_iterator _iter65;
+    for (_iter65 = this->grants.begin(); _iter65 != this->grants.end(); ++_iter65)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1485,10 +1721,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<server_suspicion> ::const_iterator _iter59;
-    for (_iter59 = this->suspicions.begin(); _iter59 != this->suspicions.end(); ++_iter59)
+    std::vector<server_suspicion> ::const_iterator _iter66;
+    for (_iter66 = this->suspicions.begin(); _iter66 != this->suspicions.end(); ++_iter66)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1497,10 +1733,10 @@
   xfer += oprot->writeFieldBegin("packed_members", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packed_members.size()));
-    std::vector<packed_member> ::const_iterator _iter60;
-    for (_iter60 = this->packed_members.begin(); _iter60 != this->packed_members.end(); ++_iter60)
+    std::vector<packed_member> ::const_iterator _iter67;
+    for (_iter67 = this->packed_members.begin(); _iter67 != this->packed_members.end(); ++_iter67)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1509,10 +1745,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash_report> ::const_iterator _iter61;
-    for (_iter61 = this->crashes.begin(); _iter61 != this->crashes.end(); ++_iter61)
+    std::vector<crash_report> ::const_iterator _iter68;
+    for (_iter68 = this->crashes.begin(); _iter68 != this->crashes.end(); ++_iter68)
     {
-      xfer += (*_iter61).write(oprot);
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1521,10 +1757,10 @@
   xfer += oprot->writeFieldBegin("clearances", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->clearances.size()));
-    std::vector<crash_clearance> ::const_iterator _iter62;
-    for (_iter62 = this->clearances.begin(); _iter62 != this->clearances.end(); ++_iter62)
+    std::vector<crash_clearance> ::const_iterator _iter69;
+    for (_iter69 = this->clearances.begin(); _iter69 != this->clearances.end(); ++_iter69)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1533,10 +1769,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<server_limit_report> ::const_iterator _iter63;
-    for (_iter63 = this->limits.begin(); _iter63 != this->limits.end(); ++_iter63)
+    std::vector<server_limit_report> ::const_iterator _iter70;
+    for (_iter70 = this->limits.begin(); _iter70 != this->limits.end(); ++_iter70)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1558,6 +1794,18 @@
   xfer += oprot->writeI64(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("conditions", ::apache::thrift::protocol::T_LIST, 16);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->conditions.size()));
+    std::vector<server_condition_report> ::const_iterator _iter71;
+    for (_iter71 = this->conditions.begin(); _iter71 != this->conditions.end(); ++_iter71)
+    {
+      xfer += (*_iter71).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1580,44 +1828,47 @@
   swap(a.settings_version, b.settings_version);
   swap(a.fleet_unconfirmed, b.fleet_unconfirmed);
   swap(a.data_centre, b.data_centre);
+  swap(a.conditions, b.conditions);
   swap(a.__isset, b.__isset);
 }
 
-gateway_datagram::gateway_datagram(const gateway_datagram& other64) {
-  process = other64.process;
-  fleet_size = other64.fleet_size;
-  settled = other64.settled;
-  members = other64.members;
-  asks = other64.asks;
-  grants = other64.grants;
-  suspicions = other64.suspicions;
-  packed_members = other64.packed_members;
-  crashes = other64.crashes;
-  clearances = other64.clearances;
-  limits = other64.limits;
-  accepts_relays = other64.accepts_relays;
-  settings_version = other64.settings_version;
-  fleet_unconfirmed = other64.fleet_unconfirmed;
-  data_centre = other64.data_centre;
-  __isset = other64.__isset;
-}
-gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other65) {
-  process = other65.process;
-  fleet_size = other65.fleet_size;
-  settled = other65.settled;
-  members = other65.members;
-  asks = other65.asks;
-  grants = other65.grants;
-  suspicions = other65.suspicions;
-  packed_members = other65.packed_members;
-  crashes = other65.crashes;
-  clearances = other65.clearances;
-  limits = other65.limits;
-  accepts_relays = other65.accepts_relays;
-  settings_version = other65.settings_version;
-  fleet_unconfirmed = other65.fleet_unconfirmed;
-  data_centre = other65.data_centre;
-  __isset = other65.__isset;
+gateway_datagram::gateway_datagram(const gateway_datagram& other72) {
+  process = other72.process;
+  fleet_size = other72.fleet_size;
+  settled = other72.settled;
+  members = other72.members;
+  asks = other72.asks;
+  grants = other72.grants;
+  suspicions = other72.suspicions;
+  packed_members = other72.packed_members;
+  crashes = other72.crashes;
+  clearances = other72.clearances;
+  limits = other72.limits;
+  accepts_relays = other72.accepts_relays;
+  settings_version = other72.settings_version;
+  fleet_unconfirmed = other72.fleet_unconfirmed;
+  data_centre = other72.data_centre;
+  conditions = other72.conditions;
+  __isset = other72.__isset;
+}
+gateway_datagram& gateway_datagram::operator=(const gateway_datagram& other73) {
+  process = other73.process;
+  fleet_size = other73.fleet_size;
+  settled = other73.settled;
+  members = other73.members;
+  asks = other73.asks;
+  grants = other73.grants;
+  suspicions = other73.suspicions;
+  packed_members = other73.packed_members;
+  crashes = other73.crashes;
+  clearances = other73.clearances;
+  limits = other73.limits;
+  accepts_relays = other73.accepts_relays;
+  settings_version = other73.settings_version;
+  fleet_unconfirmed = other73.fleet_unconfirmed;
+  data_centre = other73.data_centre;
+  conditions = other73.conditions;
+  __isset = other73.__isset;
   return *this;
 }
 void gateway_datagram::printTo(std::ostream& out) const {
@@ -1638,6 +1889,7 @@
   out << ", " << "settings_version=" << to_string(settings_version);
   out << ", " << "fleet_unconfirmed=" << to_string(fleet_unconfirmed);
   out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "conditions=" << to_string(conditions);
   out << ")";
 }
 
@@ -1785,21 +2037,21 @@
   swap(a.__isset, b.__isset);
 }
 
-mirrored_item::mirrored_item(const mirrored_item& other66) {
-  key = other66.key;
-  revision = other66.revision;
-  removed = other66.removed;
-  bytes = other66.bytes;
-  era = other66.era;
-  __isset = other66.__isset;
-}
-mirrored_item& mirrored_item::operator=(const mirrored_item& other67) {
-  key = other67.key;
-  revision = other67.revision;
-  removed = other67.removed;
-  bytes = other67.bytes;
-  era = other67.era;
-  __isset = other67.__isset;
+mirrored_item::mirrored_item(const mirrored_item& other74) {
+  key = other74.key;
+  revision = other74.revision;
+  removed = other74.removed;
+  bytes = other74.bytes;
+  era = other74.era;
+  __isset = other74.__isset;
+}
+mirrored_item& mirrored_item::operator=(const mirrored_item& other75) {
+  key = other75.key;
+  revision = other75.revision;
+  removed = other75.removed;
+  bytes = other75.bytes;
+  era = other75.era;
+  __isset = other75.__isset;
   return *this;
 }
 void mirrored_item::printTo(std::ostream& out) const {
@@ -1913,14 +2165,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->items.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->items.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->items[_i72].read(iprot);
+              xfer += this->items[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1989,10 +2241,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<mirrored_item> ::const_iterator _iter73;
-    for (_iter73 = this->items.begin(); _iter73 != this->items.end(); ++_iter73)
+    std::vector<mirrored_item> ::const_iterator _iter81;
+    for (_iter81 = this->items.begin(); _iter81 != this->items.end(); ++_iter81)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2028,27 +2280,27 @@
   swap(a.__isset, b.__isset);
 }
 
-mirror_update::mirror_update(const mirror_update& other74) {
-  place = other74.place;
-  process = other74.process;
-  whole = other74.whole;
-  store_steady = other74.store_steady;
-  items = other74.items;
-  at = other74.at;
-  store_reachable = other74.store_reachable;
-  at_era = other74.at_era;
-  __isset = other74.__isset;
+mirror_update::mirror_update(const mirror_update& other82) {
+  place = other82.place;
+  process = other82.process;
+  whole = other82.whole;
+  store_steady = other82.store_steady;
+  items = other82.items;
+  at = other82.at;
+  store_reachable = other82.store_reachable;
+  at_era = other82.at_era;
+  __isset = other82.__isset;
 }
-mirror_update& mirror_update::operator=(const mirror_update& other75) {
-  place = other75.place;
-  process = other75.process;
-  whole = other75.whole;
-  store_steady = other75.store_steady;
-  items = other75.items;
-  at = other75.at;
-  store_reachable = other75.store_reachable;
-  at_era = other75.at_era;
-  __isset = other75.__isset;
+mirror_update& mirror_update::operator=(const mirror_update& other83) {
+  place = other83.place;
+  process = other83.process;
+  whole = other83.whole;
+  store_steady = other83.store_steady;
+  items = other83.items;
+  at = other83.at;
+  store_reachable = other83.store_reachable;
+  at_era = other83.at_era;
+  __isset = other83.__isset;
   return *this;
 }
 void mirror_update::printTo(std::ostream& out) const {
@@ -2157,14 +2409,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->tried.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->tried.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readI64(this->tried[_i80]);
+              xfer += iprot->readI64(this->tried[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2277,10 +2529,10 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tried.size()));
-    std::vector<int64_t> ::const_iterator _iter81;
-    for (_iter81 = this->tried.begin(); _iter81 != this->tried.end(); ++_iter81)
+    std::vector<int64_t> ::const_iterator _iter89;
+    for (_iter89 = this->tried.begin(); _iter89 != this->tried.end(); ++_iter89)
     {
-      xfer += oprot->writeI64((*_iter81));
+      xfer += oprot->writeI64((*_iter89));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2348,35 +2600,35 @@
   swap(a.__isset, b.__isset);
 }
 
-relay_request::relay_request(const relay_request& other82) {
-  service_id = other82.service_id;
-  tried = other82.tried;
-  extra_send = other82.extra_send;
-  request_print = other82.request_print;
-  deadline = other82.deadline;
-  repeatable = other82.repeatable;
-  workspace = other82.workspace;
-  request_id = other82.request_id;
-  method = other82.method;
-  target = other82.target;
-  header_lines = other82.header_lines;
-  body = other82.body;
-  __isset = other82.__isset;
-}
-relay_request& relay_request::operator=(const relay_request& other83) {
-  service_id = other83.service_id;
-  tried = other83.tried;
-  extra_send = other83.extra_send;
-  request_print = other83.request_print;
-  deadline = other83.deadline;
-  repeatable = other83.repeatable;
-  workspace = other83.workspace;
-  request_id = other83.request_id;
-  method = other83.method;
-  target = other83.target;
-  header_lines = other83.header_lines;
-  body = other83.body;
-  __isset = other83.__isset;
+relay_request::relay_request(const relay_request& other90) {
+  service_id = other90.service_id;
+  tried = other90.tried;
+  extra_send = other90.extra_send;
+  request_print = other90.request_print;
+  deadline = other90.deadline;
+  repeatable = other90.repeatable;
+  workspace = other90.workspace;
+  request_id = other90.request_id;
+  method = other90.method;
+  target = other90.target;
+  header_lines = other90.header_lines;
+  body = other90.body;
+  __isset = other90.__isset;
+}
+relay_request& relay_request::operator=(const relay_request& other91) {
+  service_id = other91.service_id;
+  tried = other91.tried;
+  extra_send = other91.extra_send;
+  request_print = other91.request_print;
+  deadline = other91.deadline;
+  repeatable = other91.repeatable;
+  workspace = other91.workspace;
+  request_id = other91.request_id;
+  method = other91.method;
+  target = other91.target;
+  header_lines = other91.header_lines;
+  body = other91.body;
+  __isset = other91.__isset;
   return *this;
 }
 void relay_request::printTo(std::ostream& out) const {
@@ -2668,35 +2920,35 @@
   swap(a.__isset, b.__isset);
 }
 
-relay_result::relay_result(const relay_result& other84) {
-  server = other84.server;
-  fault = other84.fault;
-  status = other84.status;
-  not_run = other84.not_run;
-  misdirected = other84.misdirected;
-  leaving = other84.leaving;
-  receipt = other84.receipt;
-  cold_remaining = other84.cold_remaining;
-  retry_after = other84.retry_after;
-  server_limit = other84.server_limit;
-  header_lines = other84.header_lines;
-  body = other84.body;
-  __isset = other84.__isset;
-}
-relay_result& relay_result::operator=(const relay_result& other85) {
-  server = other85.server;
-  fault = other85.fault;
-  status = other85.status;
-  not_run = other85.not_run;
-  misdirected = other85.misdirected;
-  leaving = other85.leaving;
-  receipt = other85.receipt;
-  cold_remaining = other85.cold_remaining;
-  retry_after = other85.retry_after;
-  server_limit = other85.server_limit;
-  header_lines = other85.header_lines;
-  body = other85.body;
-  __isset = other85.__isset;
+relay_result::relay_result(const relay_result& other92) {
+  server = other92.server;
+  fault = other92.fault;
+  status = other92.status;
+  not_run = other92.not_run;
+  misdirected = other92.misdirected;
+  leaving = other92.leaving;
+  receipt = other92.receipt;
+  cold_remaining = other92.cold_remaining;
+  retry_after = other92.retry_after;
+  server_limit = other92.server_limit;
+  header_lines = other92.header_lines;
+  body = other92.body;
+  __isset = other92.__isset;
+}
+relay_result& relay_result::operator=(const relay_result& other93) {
+  server = other93.server;
+  fault = other93.fault;
+  status = other93.status;
+  not_run = other93.not_run;
+  misdirected = other93.misdirected;
+  leaving = other93.leaving;
+  receipt = other93.receipt;
+  cold_remaining = other93.cold_remaining;
+  retry_after = other93.retry_after;
+  server_limit = other93.server_limit;
+  header_lines = other93.header_lines;
+  body = other93.body;
+  __isset = other93.__isset;
   return *this;
 }
 void relay_result::printTo(std::ostream& out) const {
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -31,6 +31,8 @@
 
 class server_suspicion;
 
+class server_condition_report;
+
 class crash_report;
 
 class crash_clearance;
@@ -272,9 +274,11 @@
 std::ostream& operator<<(std::ostream& out, const token_grant& obj);
 
 typedef struct _server_suspicion__isset {
-  _server_suspicion__isset() : server(false), term(false) {}
+  _server_suspicion__isset() : server(false), term(false), cause(false), sent_age(false) {}
   bool server :1;
   bool term :1;
+  bool cause :1;
+  bool sent_age :1;
 } _server_suspicion__isset;
 
 class server_suspicion : public virtual ::apache::thrift::TBase {
@@ -284,12 +288,16 @@
   server_suspicion& operator=(const server_suspicion&) noexcept;
   server_suspicion() noexcept
                    : server(0),
-                     term(0) {
+                     term(0),
+                     cause(0),
+                     sent_age(0) {
   }
 
   virtual ~server_suspicion() noexcept;
   int64_t server;
   int64_t term;
+  int8_t cause;
+  int64_t sent_age;
 
   _server_suspicion__isset __isset;
 
@@ -297,12 +305,20 @@
 
   void __set_term(const int64_t val);
 
+  void __set_cause(const int8_t val);
+
+  void __set_sent_age(const int64_t val);
+
   bool operator == (const server_suspicion & rhs) const
   {
     if (!(server == rhs.server))
       return false;
     if (!(term == rhs.term))
       return false;
+    if (!(cause == rhs.cause))
+      return false;
+    if (!(sent_age == rhs.sent_age))
+      return false;
     return true;
   }
   bool operator != (const server_suspicion &rhs) const {
@@ -321,6 +337,77 @@
 
 std::ostream& operator<<(std::ostream& out, const server_suspicion& obj);
 
+typedef struct _server_condition_report__isset {
+  _server_condition_report__isset() : server(false), impaired(false), failing(false), latency_ms(false), age_ms(false) {}
+  bool server :1;
+  bool impaired :1;
+  bool failing :1;
+  bool latency_ms :1;
+  bool age_ms :1;
+} _server_condition_report__isset;
+
+class server_condition_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  server_condition_report(const server_condition_report&) noexcept;
+  server_condition_report& operator=(const server_condition_report&) noexcept;
+  server_condition_report() noexcept
+                          : server(0),
+                            impaired(0),
+                            failing(0),
+                            latency_ms(0),
+                            age_ms(0) {
+  }
+
+  virtual ~server_condition_report() noexcept;
+  int64_t server;
+  bool impaired;
+  bool failing;
+  int32_t latency_ms;
+  int32_t age_ms;
+
+  _server_condition_report__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_impaired(const bool val);
+
+  void __set_failing(const bool val);
+
+  void __set_latency_ms(const int32_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const server_condition_report & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(impaired == rhs.impaired))
+      return false;
+    if (!(failing == rhs.failing))
+      return false;
+    if (!(latency_ms == rhs.latency_ms))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const server_condition_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const server_condition_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(server_condition_report &a, server_condition_report &b);
+
+std::ostream& operator<<(std::ostream& out, const server_condition_report& obj);
+
 typedef struct _crash_report__isset {
   _crash_report__isset() : request_print(false), server(false), service_id(false), sent_age(false), lost_age(false), strike(false) {}
   bool request_print :1;
@@ -521,7 +608,7 @@
 std::ostream& operator<<(std::ostream& out, const server_limit_report& obj);
 
 typedef struct _gateway_datagram__isset {
-  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false), accepts_relays(false), settings_version(false), fleet_unconfirmed(false), data_centre(false) {}
+  _gateway_datagram__isset() : process(false), fleet_size(false), settled(false), members(false), asks(false), grants(false), suspicions(false), packed_members(false), crashes(false), clearances(false), limits(false), accepts_relays(false), settings_version(false), fleet_unconfirmed(false), data_centre(false), conditions(false) {}
   bool process :1;
   bool fleet_size :1;
   bool settled :1;
@@ -537,6 +624,7 @@
   bool settings_version :1;
   bool fleet_unconfirmed :1;
   bool data_centre :1;
+  bool conditions :1;
 } _gateway_datagram__isset;
 
 class gateway_datagram : public virtual ::apache::thrift::TBase {
@@ -570,6 +658,7 @@
   int64_t settings_version;
   bool fleet_unconfirmed;
   int64_t data_centre;
+  std::vector<server_condition_report>  conditions;
 
   _gateway_datagram__isset __isset;
 
@@ -603,6 +692,8 @@
 
   void __set_data_centre(const int64_t val);
 
+  void __set_conditions(const std::vector<server_condition_report> & val);
+
   bool operator == (const gateway_datagram & rhs) const
   {
     if (!(process == rhs.process))
@@ -635,6 +726,8 @@
       return false;
     if (!(data_centre == rhs.data_centre))
       return false;
+    if (!(conditions == rhs.conditions))
+      return false;
     return true;
   }
   bool operator != (const gateway_datagram &rhs) const {
