rest_limits: learn an idle limit only from losses that idleness explains

One lost connection limited the reuse of all connections to its server for 10 s.

A reset counts as that of a forgotten connection within a round trip, as the kernel measured it at set-up, and 2 ms; it was 8 ms for all connections.

--- a/src/loop/backend_connection.cpp
+++ b/src/loop/backend_connection.cpp
@@ -18,8 +18,11 @@
 /** Margin before the server closes an idle connection. */
 constexpr duration idle_margin = 500ms;
 constexpr duration min_idle_limit = 250ms;
-/** Time in which a server that forgot a connection resets it: a round trip. */
-constexpr duration prompt_reset = 8ms;
+/**
+ * Time beyond a round trip in which the reset of a server that forgot a
+ * connection is read. A server that resets later may have run the request.
+ */
+constexpr duration reset_margin = 2ms;
 constexpr unsigned first_final_status = 200;
 /** Interim responses before an answer that are read before giving up. */
 constexpr std::uint32_t max_interim = 8;
@@ -122,6 +125,8 @@
     m_connected = true;
     m_stream->listen(this);
     m_stream->start();
+    // Later estimates contain the time in which the server works.
+    m_round_trip = m_stream->round_trip();
     if (m_probing) {
         m_probing = false;
         m_idle_since = m_links.m_loop.time.now();
@@ -143,6 +148,7 @@
 {
     m_exchange = std::move(exchange);
     m_interim = 0;
+    m_answering = false;
     if (m_exchange->head) {
         m_reader.expect_no_body();
     }
@@ -165,7 +171,12 @@
         m_links.ended(this);
         return;
     }
-    m_on_kept = false;
+    m_answering = true;
+    if (m_on_kept) {
+        m_on_kept = false;
+        m_links.m_rest_limits.worked(m_server, m_rested,
+                                     m_links.m_loop.time.now());
+    }
     look(m_reader.feed(bytes));
 }
 
@@ -197,7 +208,11 @@
 void backend_connection::lost()
 {
     const time_point now = m_links.m_loop.time.now();
-    if (!m_on_kept || now - m_written_at > prompt_reset) {
+    const bool prompt = now - m_written_at <= m_round_trip + reset_margin;
+    if (!m_on_kept && !m_carried && !m_answering) {
+        m_links.m_rest_limits.lost_fresh(m_server, now);
+    }
+    if (!m_on_kept || !prompt) {
         fail(exchange_fault::connection_lost);
         return;
     }
--- a/src/loop/backend_connection.hpp
+++ b/src/loop/backend_connection.hpp
@@ -88,6 +88,10 @@
     /** How long the connection had been idle when the exchange was sent. */
     duration m_rested{0};
     time_point m_written_at;
+    /** The kernel's estimate when the connection was set up. */
+    duration m_round_trip{0};
+    /** Bytes have come since the exchange was sent. */
+    bool m_answering = false;
     /** It has carried an answer before. */
     bool m_carried = false;
     std::uint32_t m_strays = 0;
