connection_shares: keep connections by a VM's rate of sends, and tell servers over their limit apart

With 86 VMs and 85 connections of a server, connections that are kept for 8 s exceed the limit. A VM now keeps a connection for a time that follows from its own sends to the server, so that less than half of the connections are idle in the fleet. Nothing changes where a VM has four connections or more to itself.

A new connection that is reset within a round trip, before any byte, ends its exchange with the fault over_connection_limit (event 1513). The request may have run. The server is not suspected; no connection is opened there for a while if another server can have the request.

Metrics count connections opened, reused and closed by reason.

The test of a reset on a new connection now lets the server work for 9 ms first; a reset at once has a test of its own.

--- a/src/core/call_sender.cpp
+++ b/src/core/call_sender.cpp
@@ -29,8 +29,6 @@
 /** Shortest age at which a server is suspected; below it, latency is normal. */
 constexpr duration min_suspicion_age = 30ms;
 constexpr unsigned service_unavailable = 503;
-/** Share of the connections in use; the rest covers overlaps at closing. */
-constexpr double usable_connection_share = 0.95;
 
 void log_lost_send(const exchange_row& row, const std::string& server,
                    exchange_fault fault, time_point now, gateway_commands& out)
@@ -95,7 +93,7 @@
     for (const call_send& sent : c.sends) {
         terms.tried.push_back(sent.server);
     }
-    const choice_result chosen = m_choice.choose(terms, now);
+    const choice_result chosen = choose(terms, now);
     if (const auto* full = std::get_if<all_at_capacity>(&chosen)) {
         c.reopens_at = full->reopens_at;
         return send_outcome::all_at_capacity;
@@ -110,6 +108,7 @@
     const auto server = std::get<backend_server_id>(chosen);
     const server_row& row = *m_servers.find(server);
     const exchange_id exchange(++m_last_exchange);
+    const connection_keep keep = record_sent(row, c.service, exchange, now);
     m_exchanges[exchange] = {{request.token, call},
                              request.outbound,
                              request.print,
@@ -119,19 +118,53 @@
                              now,
                              false,
                              {},
-                             {}};
-    m_observer.sent(server, exchange, now);
-    m_server_limits.record_sent(server, now);
-    m_cold_limits.record_sent(row, now);
+                             {},
+                             keep};
     c.sends.push_back({exchange, server, now, true, false});
     c.state = call_state::sent;
-    out.push_back(start_exchange{exchange, server, row.entry.address,
-                                 row.entry.name, request.workspace_name,
-                                 request.deadline - now,
-                                 request.terms->repeatable, request.outbound});
+    out.push_back(
+        start_exchange{exchange, server, row.entry.address, row.entry.name,
+                       request.workspace_name, request.deadline - now,
+                       request.terms->repeatable, request.outbound, keep});
     return send_outcome::sent;
 }
 
+connection_keep call_sender::record_sent(const server_row& row,
+                                         service_id service,
+                                         exchange_id exchange, time_point now)
+{
+    const backend_server_id server = row.entry.id;
+    m_observer.sent(server, exchange, now);
+    m_server_limits.record_sent(server, now);
+    m_cold_limits.record_sent(row, now);
+    m_shares.sent(service, server, now);
+    return m_shares.keep(service, server, connection_limits_of(service), now);
+}
+
+// A server that was over its limit of connections gets a request only on an
+// idle connection, if another server of the service can have the request.
+choice_result call_sender::choose(const choice_criteria& criteria,
+                                  time_point now) const
+{
+    choice_criteria preferred = criteria;
+    for (const backend_server_id id : m_servers.of_service(criteria.service)) {
+        const server_row& row = *m_servers.find(id);
+        const bool connects = row.in_flight() > 0 || now >= row.connected_until;
+        if (connects && !m_shares.may_open(id, now)) {
+            preferred.tried.push_back(id);
+        }
+    }
+    if (preferred.tried.size() > criteria.tried.size()) {
+        const choice_result chosen = m_choice.choose(preferred, now);
+        if (std::holds_alternative<backend_server_id>(chosen)) {
+            return chosen;
+        }
+        preferred = criteria;
+        preferred.max_in_flight = 1;
+    }
+    return m_choice.choose(preferred, now);
+}
+
 choice_criteria call_sender::criteria_for(service_id service, bool extra) const
 {
     choice_criteria terms;
@@ -193,13 +226,15 @@
     const relay_request& request = asked.request;
     choice_criteria terms = criteria_for(request.service, request.extra);
     terms.tried = request.tried;
-    const choice_result chosen = m_choice.choose(terms, now);
+    const choice_result chosen = choose(terms, now);
     if (!std::holds_alternative<backend_server_id>(chosen)) {
         return false;
     }
     const auto server = std::get<backend_server_id>(chosen);
     const server_row& row = *m_servers.find(server);
     const exchange_id exchange(++m_last_exchange);
+    const connection_keep keep =
+        record_sent(row, request.service, exchange, now);
     m_exchanges[exchange] = {{},
                              request.outbound,
                              request.print,
@@ -209,15 +244,13 @@
                              now,
                              false,
                              {},
-                             asked.token};
+                             asked.token,
+                             keep};
     m_relayed[asked.token] = exchange;
     m_overdue.schedule(exchange, now + request.deadline + abandoned_timeout);
-    m_observer.sent(server, exchange, now);
-    m_server_limits.record_sent(server, now);
-    m_cold_limits.record_sent(row, now);
     out.push_back(start_exchange{
         exchange, server, row.entry.address, row.entry.name, request.workspace,
-        request.deadline, request.repeatable, request.outbound});
+        request.deadline, request.repeatable, request.outbound, keep});
     return true;
 }
 
@@ -264,6 +297,10 @@
         return;
     }
     m_observer.answered(row.server, ended.exchange, !answer->not_run, now);
+    server_row* server = m_servers.find(row.server);
+    if (server != nullptr && row.keep.idle < server->connected_until - now) {
+        server->connected_until = now + row.keep.idle;
+    }
     if (answer->not_run) {
         m_suspicions.found(row.server, suspicion_cause::refused, now, out);
     } else if (row.route.is_set()) {
@@ -331,6 +368,19 @@
         m_observer.answered(row.server, ended.exchange, false, now);
         return;
     }
+    if (failure != nullptr &&
+        failure->fault == exchange_fault::over_connection_limit) {
+        m_observer.answered(row.server, ended.exchange, false, now);
+        if (m_shares.over_limit(row.server, now)) {
+            out.push_back(gateway_log{
+                static_cast<std::uint32_t>(
+                    log_code::server_over_connection_limit),
+                "server=" + name_of_server(row.server) +
+                    " request=" + row.outbound->id + " wait_ms=" +
+                    milliseconds_text(m_shares.opens_after(row.server, now))});
+        }
+        return;
+    }
     if (failure != nullptr &&
         failure->fault == exchange_fault::connection_refused) {
         m_cold_limits.refused(row.server, now, out);
@@ -413,14 +463,24 @@
 }
 
 std::uint32_t call_sender::max_in_flight(service_id service) const
+{
+    return connection_shares::most_in_flight(connection_limits_of(service));
+}
+
+connection_limits call_sender::connection_limits_of(service_id service) const
 {
     const service_entry* entry =
         m_limits == nullptr ? nullptr : m_limits->find_service(service);
-    if (entry == nullptr) {
-        return 1;
-    }
-    const double slice = entry->connections * usable_connection_share / m_vms;
-    return std::max(1U, static_cast<std::uint32_t>(slice));
+    connection_limits limits;
+    limits.vms = m_vms;
+    limits.connections = entry == nullptr ? 1 : entry->connections;
+    limits.servers = m_servers.of_service(service).size();
+    return limits;
+}
+
+void call_sender::drop_expired(time_point now)
+{
+    m_shares.drop_expired(now);
 }
 
 } // namespace cranberrywood
--- a/src/core/call_sender.hpp
+++ b/src/core/call_sender.hpp
@@ -8,6 +8,7 @@
 #include "systems/queries/latency_estimate.hpp"
 #include "systems/queries/stragglers.hpp"
 #include "systems/queries/waiting_calls.hpp"
+#include "systems/servers/connection_shares.hpp"
 #include "systems/servers/server_choice.hpp"
 #include "systems/servers/server_directory.hpp"
 #include "systems/servers/server_limits.hpp"
@@ -53,6 +54,8 @@
     std::string relayed_by;
     /** Set if this VM relays it for a peer. */
     relay_token relayed_for;
+    /** What becomes of the connection. */
+    connection_keep keep{};
 };
 
 /**
@@ -98,6 +101,9 @@
     std::optional<exchange_row> end(const exchange_ended& ended, time_point now,
                                     gateway_commands& out);
 
+    /** Forgets connection shares of servers that are no longer used. */
+    void drop_expired(time_point now);
+
     /** Marks an exchange as no longer needed; it may still finish. */
     void abandon(exchange_id exchange, time_point now);
     /** Cancels an exchange immediately. */
@@ -123,6 +129,12 @@
 
 private:
     std::uint32_t max_in_flight(service_id service) const;
+    connection_limits connection_limits_of(service_id service) const;
+    /** Chooses a server; one that was over its limit only if needed. */
+    choice_result choose(const choice_criteria& criteria, time_point now) const;
+    /** Records a send; returns what becomes of its connection. */
+    connection_keep record_sent(const server_row& row, service_id service,
+                                exchange_id exchange, time_point now);
     void observe(const exchange_row& row, const exchange_ended& ended,
                  time_point now, gateway_commands& out);
     /** Applies what the server says of the requests that it takes. */
@@ -154,6 +166,7 @@
     /** Exchanges that are sent for peers. */
     std::unordered_map<relay_token, exchange_id> m_relayed;
     extra_send_limits m_extra_sends;
+    connection_shares m_shares;
     std::uint64_t m_last_exchange = 0;
 };
 
--- a/src/core/crash_watch.cpp
+++ b/src/core/crash_watch.cpp
@@ -44,6 +44,7 @@
         return;
     case exchange_fault::connection_lost:
     case exchange_fault::kept_connection_lost:
+    case exchange_fault::over_connection_limit:
         m_evidence.add({row.print, row.server, row.service, row.sent_at, now});
         if (!m_probes.contains(row.server)) {
             m_probes.schedule(row.server, now + probe_delay);
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -73,6 +73,7 @@
         m_quarantine.drop_expired(now);
         m_server_limits.drop_expired(now);
         m_cold_limits.drop_expired(now);
+        m_sender.drop_expired(now);
         m_relay_peers.drop_silent(now);
         m_runner.serve_all_waiting(now, out);
     }
--- a/src/core/gateway_messages.cpp
+++ b/src/core/gateway_messages.cpp
@@ -60,6 +60,8 @@
         return "invalid_answer";
     case exchange_fault::declined:
         return "declined";
+    case exchange_fault::over_connection_limit:
+        return "over_connection_limit";
     }
     return "unknown";
 }
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -108,6 +108,11 @@
     invalid_answer,
     /** The peer that was asked to relay it did not; nothing was written. */
     declined,
+    /**
+     * A new connection was reset at once, before any answer: the server is over
+     * its limit of connections. The request may have run.
+     */
+    over_connection_limit,
 };
 
 struct exchange_failure
@@ -222,6 +227,15 @@
                  store_restored, datagram_received, relay_requested,
                  relay_withdrawn, vm_leaving>;
 
+/** What becomes of a connection once its answer has been read. */
+struct connection_keep
+{
+    /** Time for which it may be idle, if the server keeps it for as long. */
+    duration idle = duration::max();
+    /** Most idle connections of this VM to the server. */
+    std::uint32_t most = ~0U;
+};
+
 /** Send a request to a backend server. */
 struct start_exchange
 {
@@ -236,6 +250,7 @@
     duration deadline{0};
     bool repeatable = false;
     std::shared_ptr<const outbound_request> request;
+    connection_keep keep{};
 };
 
 /** Ask a peer to relay an exchange. */
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -49,6 +49,7 @@
     server_links_changed = 1510,
     relay_declined = 1511,
     server_taken_for_cold = 1512,
+    server_over_connection_limit = 1513,
     request_refused = 1601,
     request_not_served = 1602,
     request_malformed = 1603,
--- a/src/loop/backend_connection.cpp
+++ b/src/loop/backend_connection.cpp
@@ -57,7 +57,8 @@
     : m_links(links), m_server(server), m_address(address),
       m_stream(std::make_shared<stream_socket>(links.m_loop,
                                                tcp_socket(links.m_loop.io))),
-      m_connect_timer(links.m_loop.io), m_reader(answer_limits)
+      m_connect_timer(links.m_loop.io), m_keep_timer(links.m_loop.io),
+      m_reader(answer_limits)
 {
 }
 
@@ -133,12 +134,14 @@
         m_links.probed(shared_from_this(), probe_result::accepted);
         return;
     }
+    m_written_at = m_links.m_loop.time.now();
     write(std::move(*m_exchange));
 }
 
 void backend_connection::send(carried_exchange exchange)
 {
     m_on_kept = true;
+    m_keep_timer.cancel();
     m_written_at = m_links.m_loop.time.now();
     m_rested = rested(m_written_at);
     write(std::move(exchange));
@@ -160,6 +163,7 @@
     m_exchange.reset();
     m_probing = false;
     m_connect_timer.cancel();
+    m_keep_timer.cancel();
     m_stream->close();
 }
 
@@ -168,7 +172,7 @@
     if (!m_exchange) {
         // Bytes that no request has asked for.
         close();
-        m_links.ended(this);
+        m_links.ended(this, close_reason::ended_by_server);
         return;
     }
     m_answering = true;
@@ -184,33 +188,37 @@
 {
     if (!m_exchange) {
         close();
-        m_links.ended(this);
+        m_links.ended(this, close_reason::ended_by_server);
         return;
     }
     if (m_reader.feed_end() == read_state::complete) {
         answer_complete();
     } else {
-        lost();
+        lost(false);
     }
 }
 
 void backend_connection::stream_failed()
 {
     if (!m_exchange) {
-        m_links.ended(this);
+        m_links.ended(this, close_reason::ended_by_server);
         return;
     }
-    lost();
+    lost(true);
 }
 
-// Nothing came back on a connection that had been idle, and it was reset at
-// once: the server had closed it before it could read the request.
-void backend_connection::lost()
+// A connection that had been idle and is reset at once was closed by the server
+// before it could read the request. A new one that is reset at once, before any
+// byte of an answer, was one too many for the server.
+void backend_connection::lost(bool reset)
 {
     const time_point now = m_links.m_loop.time.now();
     const bool prompt = now - m_written_at <= m_round_trip + reset_margin;
-    if (!m_on_kept && !m_carried && !m_answering) {
+    if (!m_on_kept && !m_answering) {
         m_links.m_rest_limits.lost_fresh(m_server, now);
+        fail(reset && prompt ? exchange_fault::over_connection_limit
+                             : exchange_fault::connection_lost);
+        return;
     }
     if (!m_on_kept || !prompt) {
         fail(exchange_fault::connection_lost);
@@ -284,15 +292,19 @@
 {
     const auto self = shared_from_this();
     const exchange_id id = m_exchange->id;
+    const connection_keep keep = m_exchange->keep;
     m_exchange.reset();
     m_carried = true;
     m_links.m_busy.erase(id);
     if (reusable) {
         learn_idle_limit(response);
         m_idle_since = m_links.m_loop.time.now();
-        m_links.became_idle(self);
+        m_keep = keep.idle;
+        await_end_of_keep();
+        m_links.became_idle(self, keep.most);
     } else {
         close();
+        m_links.m_counts.count(close_reason::not_reusable);
     }
     m_links.m_handler.exchange_answered(id, std::move(response));
 }
@@ -305,10 +317,29 @@
     const auto self = shared_from_this();
     const exchange_id id = m_exchange->id;
     close();
+    m_links.m_counts.count(close_reason::failed);
     m_links.m_busy.erase(id);
     m_links.m_handler.exchange_failed(id, fault);
 }
 
+// The sweep of all connections is too coarse: a connection may be kept for
+// 100 ms.
+void backend_connection::await_end_of_keep()
+{
+    if (m_keep >= m_idle_limit) {
+        return;
+    }
+    m_keep_timer.expires_after(m_keep);
+    m_keep_timer.async_wait([weak = weak_from_this()](const error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr && !self->m_exchange &&
+            self->m_stream->socket().is_open()) {
+            self->close();
+            self->m_links.ended(self.get(), close_reason::idle);
+        }
+    });
+}
+
 void backend_connection::learn_idle_limit(const http_response& response)
 {
     constexpr std::string_view prefix = "timeout=";
--- a/src/loop/backend_connection.hpp
+++ b/src/loop/backend_connection.hpp
@@ -5,6 +5,7 @@
 #include "loop/message_reader.hpp"
 #include "loop/stream_socket.hpp"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 
@@ -18,6 +19,7 @@
     std::string bytes;
     /** The answer to a HEAD request has no body. */
     bool head = false;
+    connection_keep keep{};
 };
 
 /** One connection to a backend server. */
@@ -54,7 +56,7 @@
     /** Returns whether the server may close it for idleness soon. */
     bool idle_for_long(time_point now) const
     {
-        return rested(now) > m_idle_limit;
+        return rested(now) > std::min(m_idle_limit, m_keep);
     }
 
     void bytes_came(std::string_view bytes) override;
@@ -69,7 +71,9 @@
     void look(read_state state);
     void answer_complete();
     void finish(http_response response, bool reusable);
-    void lost();
+    /** The connection has ended; it may have been reset. */
+    void lost(bool reset);
+    void await_end_of_keep();
     void fail(exchange_fault fault);
     void learn_idle_limit(const http_response& response);
 
@@ -78,6 +82,7 @@
     endpoint m_address;
     std::shared_ptr<stream_socket> m_stream;
     boost::asio::steady_timer m_connect_timer;
+    boost::asio::steady_timer m_keep_timer;
     response_reader m_reader;
     std::optional<carried_exchange> m_exchange;
     bool m_connected = false;
@@ -99,6 +104,8 @@
     std::uint32_t m_interim = 0;
     time_point m_idle_since;
     duration m_idle_limit = std::chrono::seconds(8);
+    /** Time for which this VM keeps it idle. */
+    duration m_keep = duration::max();
 };
 
 } // namespace cranberrywood
--- a/src/loop/backend_links.cpp
+++ b/src/loop/backend_links.cpp
@@ -30,16 +30,17 @@
 {
     carried_exchange carried{exchange.exchange, exchange.request->id,
                              std::move(bytes),
-                             exchange.request->method == "HEAD"};
+                             exchange.request->method == "HEAD", exchange.keep};
     pool& p = pool_of(exchange.server, exchange.address);
     if (auto kept = take_idle(p)) {
+        ++m_counts.reused;
         m_busy[exchange.exchange] = kept;
         kept->send(std::move(carried));
         return;
     }
     auto fresh = std::make_shared<backend_connection>(*this, exchange.server,
                                                       exchange.address);
-    ++m_opened;
+    ++m_counts.opened;
     m_busy[exchange.exchange] = fresh;
     fresh->open(std::move(carried));
 }
@@ -49,6 +50,7 @@
     const auto found = m_busy.find(exchange);
     if (found != m_busy.end()) {
         found->second->close();
+        m_counts.count(close_reason::cancelled);
         m_busy.erase(found);
     }
 }
@@ -61,7 +63,7 @@
     pool_of(probe.server, probe.address);
     auto fresh = std::make_shared<backend_connection>(*this, probe.server,
                                                       probe.address);
-    ++m_opened;
+    ++m_counts.opened;
     m_probes[probe.server] = fresh;
     fresh->open_idle();
 }
@@ -73,6 +75,7 @@
         for (const auto& connection : idle) {
             if (connection->idle_for_long(now)) {
                 connection->close();
+                m_counts.count(close_reason::idle);
             }
         }
         idle.erase(std::remove_if(idle.begin(), idle.end(),
@@ -100,6 +103,7 @@
     if (p.address != address) {
         for (const auto& connection : p.idle) {
             connection->close();
+            m_counts.count(close_reason::moved);
         }
         p.idle.clear();
         p.address = address;
@@ -120,25 +124,32 @@
             return kept;
         }
         kept->close();
+        m_counts.count(close_reason::idle);
     }
     return nullptr;
 }
 
-void backend_links::became_idle(const connection_pointer& connection)
+void backend_links::became_idle(const connection_pointer& connection,
+                                std::uint32_t most)
 {
     pool& p = m_pools[connection->server()];
     if (p.idle.empty() && p.address.host.empty()) {
         p.address = connection->address();
     }
-    if (p.address == connection->address()) {
-        p.idle.push_back(connection);
-    } else {
+    if (p.address != connection->address()) {
+        connection->close();
+        m_counts.count(close_reason::moved);
+    } else if (p.idle.size() >= most) {
         connection->close();
+        m_counts.count(close_reason::surplus);
+    } else {
+        p.idle.push_back(connection);
     }
 }
 
-void backend_links::ended(backend_connection* connection)
+void backend_links::ended(backend_connection* connection, close_reason reason)
 {
+    m_counts.count(reason);
     const auto found = m_pools.find(connection->server());
     if (found == m_pools.end()) {
         return;
@@ -157,7 +168,9 @@
     const backend_server_id server = connection->server();
     m_probes.erase(server);
     if (result == probe_result::accepted) {
-        became_idle(connection);
+        became_idle(connection, connection_keep().most);
+    } else {
+        m_counts.count(close_reason::failed);
     }
     m_handler.server_probed(server, result);
 }
--- a/src/loop/backend_links.hpp
+++ b/src/loop/backend_links.hpp
@@ -3,6 +3,7 @@
 
 #include "core/gateway_messages.hpp"
 #include "loop/answer_match.hpp"
+#include "loop/connection_counts.hpp"
 #include "loop/http_types.hpp"
 #include "loop/loop_context.hpp"
 #include "loop/rest_limits.hpp"
@@ -57,7 +58,11 @@
     std::size_t idle_connections() const;
     std::uint64_t connections_opened() const
     {
-        return m_opened;
+        return m_counts.opened;
+    }
+    const connection_counts& counts() const
+    {
+        return m_counts;
     }
 
 private:
@@ -72,8 +77,10 @@
 
     pool& pool_of(backend_server_id server, const endpoint& address);
     connection_pointer take_idle(pool& p);
-    void became_idle(const connection_pointer& connection);
-    void ended(backend_connection* connection);
+    /** Keeps a connection, unless there are `most` idle ones. */
+    void became_idle(const connection_pointer& connection, std::uint32_t most);
+    /** An idle connection is closed. */
+    void ended(backend_connection* connection, close_reason reason);
     void probed(const connection_pointer& connection, probe_result result);
 
     loop_context& m_loop;
@@ -83,7 +90,7 @@
     /** Connections that are being opened for a probe. */
     std::unordered_map<backend_server_id, connection_pointer> m_probes;
     rest_limits m_rest_limits;
-    std::uint64_t m_opened = 0;
+    connection_counts m_counts;
 };
 
 } // namespace cranberrywood
--- a/src/loop/gateway_metrics.cpp
+++ b/src/loop/gateway_metrics.cpp
@@ -77,6 +77,34 @@
     return family;
 }
 
+MetricFamily counter(const char* name, const char* help, std::uint64_t count)
+{
+    MetricFamily family;
+    family.name = prefix + std::string(name);
+    family.help = help;
+    family.type = MetricType::Counter;
+    ClientMetric metric;
+    metric.counter.value = static_cast<double>(count);
+    family.metric.push_back(metric);
+    return family;
+}
+
+MetricFamily closed_connections(const connection_counts& counts)
+{
+    MetricFamily family;
+    family.name = prefix + std::string("server_connections_closed_total");
+    family.help = "Connections to backend servers closed, by reason.";
+    family.type = MetricType::Counter;
+    for (std::size_t i = 0; i < close_reasons; ++i) {
+        const auto reason = static_cast<close_reason>(i);
+        ClientMetric metric;
+        metric.label.push_back({"reason", name_of(reason)});
+        metric.counter.value = static_cast<double>(counts.closed_for(reason));
+        family.metric.push_back(metric);
+    }
+    return family;
+}
+
 MetricFamily dropped_lines(std::size_t count)
 {
     MetricFamily family;
@@ -124,11 +152,20 @@
         state.relayed_sends);
     add("caller_connections", "Open connections of callers.",
         state.caller_connections);
+    add("server_connections_idle", "Idle connections to backend servers.",
+        state.idle_server_connections);
     add("ready", "1 if the balancer may send requests.", state.ready);
     add("reaches_servers",
         "1 if requests can reach backend servers, through other VMs if need "
         "be.",
         state.reaches_servers);
+    families.push_back(counter("server_connections_opened_total",
+                               "Connections opened to backend servers.",
+                               state.server_connections.opened));
+    families.push_back(counter("server_connections_reused_total",
+                               "Requests sent on an idle connection.",
+                               state.server_connections.reused));
+    families.push_back(closed_connections(state.server_connections));
     families.push_back(event_counters(state.events));
     families.push_back(dropped_lines(state.log_lines_dropped));
     return prometheus::TextSerializer().Serialize(families);
--- a/src/loop/gateway_metrics.hpp
+++ b/src/loop/gateway_metrics.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_LOOP_GATEWAY_METRICS_HPP
 
 #include "core/gateway_messages.hpp"
+#include "loop/connection_counts.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/registry.h>
@@ -22,6 +23,8 @@
     std::size_t open_requests = 0;
     std::size_t relayed_sends = 0;
     std::size_t caller_connections = 0;
+    std::size_t idle_server_connections = 0;
+    connection_counts server_connections;
     bool ready = false;
     bool reaches_servers = false;
     std::size_t log_lines_dropped = 0;
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -406,6 +406,8 @@
     state.open_requests = m_gateway.open_request_count();
     state.relayed_sends = m_gateway.relayed_count();
     state.caller_connections = m_front.connections();
+    state.idle_server_connections = m_links.idle_connections();
+    state.server_connections = m_links.counts();
     state.ready = ready();
     state.reaches_servers = m_gateway.reaches_servers(now);
     state.log_lines_dropped = m_log.lines_dropped();
--- a/src/systems/servers/server_reachability.cpp
+++ b/src/systems/servers/server_reachability.cpp
@@ -32,7 +32,8 @@
     const auto* failure = std::get_if<exchange_failure>(&ended.result);
     return failure != nullptr &&
            failure->fault != exchange_fault::invalid_answer &&
-           failure->fault != exchange_fault::declined;
+           failure->fault != exchange_fault::declined &&
+           failure->fault != exchange_fault::over_connection_limit;
 }
 
 } // namespace
--- a/src/tests/gateway_test.cpp
+++ b/src/tests/gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <map>
 #include <set>
 
 using namespace cranberrywood;
@@ -464,6 +465,8 @@
          exchange_failure{exchange_fault::connection_lost}, true},
         {"cannot be reached", exchange_failure{exchange_fault::not_connected},
          true},
+        {"was over its limit of connections",
+         exchange_failure{exchange_fault::over_connection_limit}, true},
         {"had closed an idle connection",
          exchange_failure{exchange_fault::kept_connection_lost}, false},
     };
@@ -487,6 +490,70 @@
     }
 }
 
+// A connection may be reset after the request was read, so a request that must
+// not run twice is not sent again.
+TEST(gateway, a_reset_by_a_server_over_its_limit_proves_nothing)
+{
+    ask("/orders/1");
+    feed(exchange_ended{
+        started[0].exchange,
+        exchange_failure{exchange_fault::over_connection_limit}});
+    CHECK_EQUAL(1, started.size());
+    CHECK_EQUAL(1, answers.size());
+    CHECK(std::holds_alternative<failed_answer>(answers[0].answer));
+}
+
+// Each further connection would be reset too, and its request lost.
+TEST(gateway, a_server_over_its_limit_is_used_on_its_idle_connection_only)
+{
+    std::map<backend_server_id, std::vector<exchange_id>> open;
+    backend_server_id full;
+    while (!full.is_set()) {
+        ask("/reads/1");
+        auto& sends = open[started.back().server];
+        sends.push_back(started.back().exchange);
+        if (sends.size() == 2) {
+            full = started.back().server;
+        }
+    }
+    feed(exchange_ended{
+        open[full].back(),
+        exchange_failure{exchange_fault::over_connection_limit}});
+    // The request itself is sent again to another server.
+    CHECK(started.back().server != full);
+    open[started.back().server].push_back(started.back().exchange);
+    open[full].pop_back();
+    for (const auto& [server, sends] : open) {
+        for (const exchange_id exchange : sends) {
+            reply(exchange, 200);
+        }
+    }
+    started.clear();
+    // Two in flight at each of the two other servers, and one here.
+    for (int i = 0; i < 5; ++i) {
+        ask("/reads/1");
+    }
+    CHECK_EQUAL(5, started.size());
+    CHECK_EQUAL(1,
+                std::count_if(started.begin(), started.end(),
+                              [&](const auto& s) { return s.server == full; }));
+}
+
+TEST(gateway, a_request_is_sent_though_all_servers_are_over_their_limits)
+{
+    std::set<backend_server_id> over;
+    for (int i = 0; i < 3; ++i) {
+        ask("/orders/1");
+        over.insert(started.back().server);
+        feed(exchange_ended{
+            started.back().exchange,
+            exchange_failure{exchange_fault::over_connection_limit}});
+    }
+    CHECK_EQUAL(3, over.size());
+    ask("/orders/1");
+    CHECK_EQUAL(4, started.size());
+}
+
 // With a fifth of the servers answering after 100 ms, the high quantile of the
 // latencies equals their latency. A hedge at that age would be too late.
 TEST(gateway, hedges_leave_time_while_many_servers_are_slow)
--- a/src/tests/loop/backend_links_test.cpp
+++ b/src/tests/loop/backend_links_test.cpp
@@ -80,6 +80,7 @@
     std::unique_ptr<backend_links> links;
     std::unique_ptr<tests::raw_listener> server;
     std::uint64_t exchanges = 0;
+    connection_keep keep;
 
     void setup() override
     {
@@ -106,6 +107,7 @@
         request->id = id;
         request->method = "GET";
         e.request = request;
+        e.keep = keep;
         links->start(e, "GET /" + id + " HTTP/1.1\r\n\r\n");
         return e.exchange;
     }
@@ -238,11 +240,78 @@
     start("a");
     const auto peer = accept();
     await_request(*peer, "a");
+    time.step(9ms);
+    peer->reset();
+    await_end(1);
+    CHECK(handler.faults[0] == exchange_fault::connection_lost);
+}
+
+// A server over its limit of connections was suspected like one that fails, and
+// got further connections from the same VM.
+TEST(backend_links, a_new_connection_that_is_reset_at_once_is_over_the_limit)
+{
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    peer->reset();
+    await_end(1);
+    CHECK(handler.faults[0] == exchange_fault::over_connection_limit);
+    CHECK_EQUAL(1, links->counts().closed_for(close_reason::failed));
+}
+
+// A server may begin an answer before it resets a connection for any reason.
+TEST(backend_links, a_reset_within_the_first_answer_is_not_over_the_limit)
+{
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    peer->send("HTTP/1.1 200 OK\r\n");
+    for (int i = 0; i < 20; ++i) {
+        io.restart();
+        io.poll();
+        std::this_thread::sleep_for(1ms);
+    }
     peer->reset();
     await_end(1);
     CHECK(handler.faults[0] == exchange_fault::connection_lost);
 }
 
+// Connections to servers that a VM rarely uses were held for 8 s.
+TEST(backend_links, a_connection_is_idle_for_no_longer_than_it_is_kept)
+{
+    keep.idle = 20ms;
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    peer->send(answer("a", "1"));
+    await_end(1);
+    CHECK_EQUAL(1, links->idle_connections());
+    CHECK(run_until(io, [&] { return links->idle_connections() == 0; }));
+    CHECK(run_until(io, [&] { return peer->ended(); }));
+    CHECK_EQUAL(1, links->counts().closed_for(close_reason::idle));
+}
+
+TEST(backend_links, no_more_idle_connections_are_held_than_are_kept)
+{
+    keep.most = 1;
+    start("a");
+    const auto first = accept();
+    await_request(*first, "a");
+    start("b");
+    const auto second = accept();
+    await_request(*second, "b");
+    first->send(answer("a", "1"));
+    await_end(1);
+    second->send(answer("b", "2"));
+    await_end(2);
+    CHECK_EQUAL(1, links->idle_connections());
+    CHECK_EQUAL(1, links->counts().closed_for(close_reason::surplus));
+    start("c");
+    await_request(*first, "c");
+    CHECK_EQUAL(1, links->counts().reused);
+    CHECK_EQUAL(2, links->counts().opened);
+}
+
 // One loss limited the use of all connections of its server for 10 s, so that
 // nearly each send opened a connection.
 TEST(backend_links, an_idle_connection_that_was_lost_is_told_apart)
--- a/src/tests/loop/gateway_metrics_test.cpp
+++ b/src/tests/loop/gateway_metrics_test.cpp
@@ -73,12 +73,18 @@
     state.ready = true;
     state.log_lines_dropped = 3;
     state.events = {{1601, 40}, {1205, 2}};
+    state.server_connections.opened = 7;
+    state.server_connections.count(close_reason::surplus);
     const std::string text = metrics.text(state);
     for (const char* line :
          {"cranberrywood_settings_version 12\n",
           "cranberrywood_limits_share 0.625\n", "cranberrywood_ready 1\n",
           "cranberrywood_reaches_servers 0\n",
           "cranberrywood_log_lines_dropped_total 3\n",
+          "cranberrywood_server_connections_opened_total 7\n",
+          "cranberrywood_server_connections_closed_total{reason=\"surplus\"} "
+          "1\n",
+          "cranberrywood_server_connections_closed_total{reason=\"idle\"} 0\n",
           "cranberrywood_log_events_total{event=\"1601\"} 40",
           "cranberrywood_log_events_total{event=\"1205\"} 2"}) {
         CHECK_TEXT(contains(text, line), line);
--- a/src/tests/loop/relay_links_test.cpp
+++ b/src/tests/loop/relay_links_test.cpp
@@ -128,6 +128,17 @@
     }
 }
 
+// VMs of earlier versions refuse a result with a fault that they do not know.
+TEST(relay_links, a_fault_of_this_version_passes_as_a_lost_connection)
+{
+    const exchange_failure failure{exchange_fault::over_connection_limit};
+    const auto read = decode_relay_result(
+        encode_relay_result({{}, failure, {}}), exchange_id(4));
+    const auto& end = std::get<exchange_ended>(read);
+    CHECK(std::get<exchange_failure>(end.result).fault ==
+          exchange_fault::connection_lost);
+}
+
 TEST(relay_links, heads_that_are_none_are_refused)
 {
     for (const unsigned status : {0U, 99U, 600U}) {
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -122,7 +122,12 @@
     wire::relay_result wired;
     wired.server = wired_id(ended.server.value());
     if (const auto* failure = std::get_if<exchange_failure>(&ended.result)) {
-        wired.__set_fault(static_cast<std::int8_t>(failure->fault));
+        // VMs of earlier versions refuse faults that they do not know.
+        const exchange_fault fault =
+            failure->fault == exchange_fault::over_connection_limit
+                ? exchange_fault::connection_lost
+                : failure->fault;
+        wired.__set_fault(static_cast<std::int8_t>(fault));
     } else {
         copy_answer(std::get<backend_answer>(ended.result), wired);
     }
