--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -51,6 +51,7 @@
     server_taken_for_cold = 1512,
     server_condition_changed = 1513,
     server_conditions_learnt = 1514,
+    server_over_connection_limit = 1515,
     request_refused = 1601,
     request_not_served = 1602,
     request_malformed = 1603,
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -72,8 +72,7 @@
             continue;
         }
         const health_class health = health_of(row, now);
-        if (const time_point opens = opening_of(row, health, now);
-            opens > now) {
+        if (const time_point opens = opening_of(row, now); opens > now) {
             reopens_at = std::min(opens, reopens_at.value_or(opens));
             continue;
         }
@@ -134,15 +133,6 @@
     return !criteria.keep_to_two || limited;
 }
 
-time_point server_choice::opening_of(const server_row& row, health_class health,
-                                     time_point now) const
-{
-    const time_point opens = opening_of(row, now);
-    return health == health_class::impaired
-               ? std::max(opens, m_conditions.opens_at(row.entry.id, now))
-               : opens;
-}
-
 time_point server_choice::opening_of(const server_row& row,
                                      time_point now) const
 {
--- a/src/systems/servers/server_choice.hpp
+++ b/src/systems/servers/server_choice.hpp
@@ -102,9 +102,6 @@
 
     /** Returns when a usable server may get a request. */
     time_point opening_of(const server_row& row, time_point now) const;
-    /** Returns when it may get one, by its condition too. */
-    time_point opening_of(const server_row& row, health_class health,
-                          time_point now) const;
     backend_server_id choose_of(std::vector<candidate> best) const;
     backend_server_id choose_preferred(std::vector<candidate> best) const;
     bool excludes(const choice_criteria& criteria, const server_row& row,
--- a/src/systems/servers/server_conditions.cpp
+++ b/src/systems/servers/server_conditions.cpp
@@ -40,7 +40,7 @@
 
 server_conditions::server_conditions(const server_table& servers,
                                      const member_directory& members)
-    : m_servers(servers), m_members(members), m_probers(members)
+    : m_servers(servers), m_probers(members)
 {
 }
 
@@ -227,14 +227,6 @@
                .has_value();
 }
 
-time_point server_conditions::opens_at(backend_server_id server,
-                                       time_point now) const
-{
-    const auto found = m_states.find(server);
-    const bool paced = found != m_states.end() && found->second.impaired;
-    return paced ? std::max(now, found->second.next_use) : now;
-}
-
 void server_conditions::record_sent(backend_server_id server, time_point now)
 {
     const auto found = m_states.find(server);
@@ -242,28 +234,12 @@
         return;
     }
     state& s = found->second;
-    s.next_use = now + spacing_by_capacity(server, s, now);
     if (const auto spacing =
             m_probers.spacing(server, probes_per_second, probing_vms, now)) {
         s.next_probe = now + *spacing;
     }
 }
 
-// A server with S slots that answers in L takes S / L requests a second; more
-// would wait in its queue until all are late. What a failing server takes is
-// not known.
-duration server_conditions::spacing_by_capacity(backend_server_id server,
-                                                const state& s,
-                                                time_point now) const
-{
-    const server_row* row = m_servers.find(server);
-    if (row == nullptr || s.failing) {
-        return duration(0);
-    }
-    const duration::rep slots = std::max(1U, row->entry.slots);
-    return s.latency * m_members.fleet_size(now) / slots;
-}
-
 void server_conditions::forget(backend_server_id server)
 {
     const auto found = m_states.find(server);
--- a/src/systems/servers/server_conditions.hpp
+++ b/src/systems/servers/server_conditions.hpp
@@ -14,8 +14,7 @@
  * Backend servers that are impaired: slow or failing for longer than a pause.
  * Evidence comes from the sends of this VM and of its peers. An impaired server
  * gets no first sends while others are better, except probes from a few VMs,
- * chosen by rendezvous hashing, until it has recovered. Without a better server
- * it is used at the rate that its slots allow, divided among all VMs.
+ * chosen by rendezvous hashing, until it has recovered.
  */
 class server_conditions
 {
@@ -46,8 +45,6 @@
 
     /** Returns whether this VM is to send a probe to an impaired server. */
     bool probe_due(backend_server_id server, time_point now);
-    /** Returns when an impaired server takes the next request of this VM. */
-    time_point opens_at(backend_server_id server, time_point now) const;
     /** Records that a request was sent. */
     void record_sent(backend_server_id server, time_point now);
 
@@ -81,7 +78,6 @@
         bool impaired = false;
         bool failing = false;
         time_point next_probe;
-        time_point next_use;
     };
     /** Changes learnt from peers since the last log line. */
     struct learnt_changes
@@ -97,9 +93,6 @@
     void apply_report(const server_condition_report& report, time_point now);
     void impair(state& s);
     void recover(backend_server_id server);
-    /** Returns the time between two requests of this VM to a slow server. */
-    duration spacing_by_capacity(backend_server_id server, const state& s,
-                                 time_point now) const;
     static server_condition_report report_of(backend_server_id server,
                                              const state& s, time_point now);
     void log_change(backend_server_id server, const state& s, time_point now,
@@ -107,7 +100,6 @@
     void log_learnt(time_point now, gateway_commands& out);
 
     const server_table& m_servers;
-    const member_directory& m_members;
     limit_sharers m_probers;
     std::unordered_map<backend_server_id, state> m_states;
     std::vector<server_condition_report> m_news;
