--- a/src/loop/gateway_file.cpp
+++ b/src/loop/gateway_file.cpp
@@ -11,6 +11,12 @@
 constexpr double max_extra_sends = 1000000;
 constexpr double max_extra_send_share = 10;
 constexpr double percent = 100.0;
+/** A process needs some 20 MB itself. */
+constexpr std::uint32_t min_memory_mb = 48;
+constexpr std::uint32_t max_memory_mb = 1048576;
+/** 200 are reserved for files, and callers, servers and peers need some. */
+constexpr std::uint32_t min_open_files = 264;
+constexpr std::uint32_t max_open_files = 1048576;
 
 /** Reads the first of the ports of a comma-separated range. */
 std::string take_first_port(const std::string& value, std::uint16_t& to)
@@ -69,6 +75,18 @@
     return {};
 }
 
+std::string take_limit(const std::string& value, std::uint32_t least,
+                       std::uint32_t most, std::optional<std::uint32_t>& to)
+{
+    std::uint32_t number = 0;
+    if (!take_number(value, most, number).empty() || number < least) {
+        return "must be a number from " + std::to_string(least) + " to " +
+               std::to_string(most);
+    }
+    to = number;
+    return {};
+}
+
 std::string take_flag(const std::string& value, bool& to)
 {
     if (value != "true" && value != "false") {
@@ -115,6 +133,14 @@
          [&](auto& v) { return take_flag(v, origin.first_start); }},
         {"stop.within_s",
          [&](auto& v) { return take_seconds(v, f.stop_within); }},
+        {"limits.memory_mb",
+         [&](auto& v) {
+             return take_limit(v, min_memory_mb, max_memory_mb, f.memory_mb);
+         }},
+        {"limits.open_files",
+         [&](auto& v) {
+             return take_limit(v, min_open_files, max_open_files, f.open_files);
+         }},
     };
     return keys;
 }
--- a/src/loop/gateway_file.hpp
+++ b/src/loop/gateway_file.hpp
@@ -4,6 +4,7 @@
 #include "core/gateway_settings.hpp"
 #include "settings/process_file.hpp"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -28,6 +29,10 @@
     endpoint store;
     /** Time from the request to stop until the process is killed. */
     duration stop_within = std::chrono::seconds(6);
+    /** Memory of the VM; without it the limits of single parts hold. */
+    std::optional<std::uint32_t> memory_mb;
+    /** File descriptors of the VM, likewise. */
+    std::optional<std::uint32_t> open_files;
     gateway_settings decisions;
 };
 
--- a/src/tests/loop/gateway_file_test.cpp
+++ b/src/tests/loop/gateway_file_test.cpp
@@ -118,6 +118,17 @@
     }
 }
 
+TEST(gateway_file, reads_the_limits_of_the_vm)
+{
+    const auto plain = read_gateway_file(whole);
+    CHECK(!std::get<gateway_file>(plain).memory_mb);
+    CHECK(!std::get<gateway_file>(plain).open_files);
+    const auto read = read_gateway_file(
+        whole + "[limits]\nmemory_mb = 160\nopen_files = 4100\n");
+    CHECK_EQUAL(160U, *std::get<gateway_file>(read).memory_mb);
+    CHECK_EQUAL(4100U, *std::get<gateway_file>(read).open_files);
+}
+
 TEST(gateway_file, says_what_is_wrong_and_where)
 {
     const mistake_row table[] = {
@@ -135,6 +146,12 @@
         {"within_s = 6", "within_s = 6s", "18: stop.within_s: must be a"},
         {"saved = 54", "saved = x", "16: extra_sends.saved: must be a number"},
         {"ports = 7740,7755", "ports = 0,1", "10: peers.ports: must be"},
+        {"within_s = 6\n", "within_s = 6\n[limits]\nmemory_mb = 47\n",
+         "20: limits.memory_mb: must be a number from 48"},
+        {"within_s = 6\n", "within_s = 6\n[limits]\nmemory_mb = 160.5\n",
+         "20: limits.memory_mb: must be a number from 48"},
+        {"within_s = 6\n", "within_s = 6\n[limits]\nopen_files = 263\n",
+         "20: limits.open_files: must be a number from 264"},
         {"name = entry-1\n", "", "0: vm.name: is missing"},
         {"[stop]", "[stopp]", "18: stopp.within_s: is not a known key"},
         {"10.2.0.28:8360", "10.2.0.28", "11: peers.seeds: 10.2.0.28 must be"},
--- a/src/tests/process/plain_socket.cpp
+++ b/src/tests/process/plain_socket.cpp
@@ -1,6 +1,7 @@
 #include "process/plain_socket.hpp"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdexcept>
@@ -61,6 +62,30 @@
     return true;
 }
 
+void plain_socket::write_some(const std::string& bytes)
+{
+    constexpr int longest_wait_ms = 20;
+    std::size_t written = 0;
+    while (written < bytes.size()) {
+        const ssize_t size =
+            ::send(m_socket, bytes.data() + written, bytes.size() - written,
+                   MSG_NOSIGNAL | MSG_DONTWAIT);
+        pollfd waited{m_socket, POLLOUT, 0};
+        if (size > 0) {
+            written += static_cast<std::size_t>(size);
+        } else if (errno != EAGAIN ||
+                   ::poll(&waited, 1, longest_wait_ms) <= 0) {
+            return;
+        }
+    }
+}
+
+void plain_socket::read_byte()
+{
+    char byte = 0;
+    ::recv(m_socket, &byte, 1, MSG_DONTWAIT);
+}
+
 int connect_to(const std::string& host, std::uint16_t port)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/src/tests/process/plain_socket.hpp
+++ b/src/tests/process/plain_socket.hpp
@@ -33,6 +33,10 @@
     read_end read(std::string& to, std::chrono::milliseconds wait);
     /** Writes all bytes; returns whether the system took them. */
     bool write(const std::string& bytes);
+    /** Writes until the peer takes no more for a moment. */
+    void write_some(const std::string& bytes);
+    /** Reads one byte if there is one. */
+    void read_byte();
 
 private:
     int m_socket;
--- a/src/tests/process/play.hpp
+++ b/src/tests/process/play.hpp
@@ -46,6 +46,8 @@
 play_report play_foreign_entries(const play_plan& plan);
 /** Lets a service answer with heads that are not proper. */
 play_report play_spoiled_heads(const play_plan& plan);
+/** Lets callers hold memory and descriptors of a VM with small limits. */
+play_report play_slow_callers(const play_plan& plan);
 
 } // namespace cranberrywood::tests
 
--- a/src/tests/process/process_soak.cpp
+++ b/src/tests/process/process_soak.cpp
@@ -29,6 +29,7 @@
     static const std::map<std::string, play> all = {
         {"foreign_entries", play_foreign_entries},
         {"planned_stops", play_planned_stops},
+        {"slow_callers", play_slow_callers},
         {"spoiled_heads", play_spoiled_heads},
     };
     return all;
--- a/src/tests/process/standin_platform.cpp
+++ b/src/tests/process/standin_platform.cpp
@@ -51,19 +51,19 @@
         m_odd.push_back(std::make_unique<standin_server>(
             "i-odd" + std::to_string(i), m_server_host, m_record, react));
     }
-    write_configuration();
+    write_configuration(plan.max_body_bytes);
     write_entries();
     m_origin = {
-        plan.program,    plan.folder,
-        network,         network + ".251:" + std::to_string(m_store->port()),
-        ports_of_vms,    plan.vms,
-        plan.stop_within};
+        plan.program,     plan.folder,
+        network,          network + ".251:" + std::to_string(m_store->port()),
+        ports_of_vms,     plan.vms,
+        plan.stop_within, plan.more_settings};
     for (unsigned i = 0; i < plan.vms; ++i) {
         m_vms.push_back(std::make_unique<vm_process>(m_origin, i));
     }
 }
 
-void standin_platform::write_configuration()
+void standin_platform::write_configuration(std::uint64_t max_body_bytes)
 {
     const json configuration = {
         {"version", 3},
@@ -74,7 +74,7 @@
         {"services", {service("desk"), service("odd")}},
         {"limits",
          {{"max_header_bytes", 16384},
-          {"max_body_bytes", 65536},
+          {"max_body_bytes", max_body_bytes},
           {"header_timeout_ms", 5000},
           {"idle_timeout_ms", 15000}}},
         {"tenants", json::array()}};
--- a/src/tests/process/standin_platform.hpp
+++ b/src/tests/process/standin_platform.hpp
@@ -20,6 +20,9 @@
     /** Items of one page of the store's lists. */
     std::size_t page_items = 500;
     std::chrono::seconds stop_within{6};
+    std::uint64_t max_body_bytes = 65536;
+    /** Further sections of the VMs' settings files. */
+    std::string more_settings{};
 };
 
 /**
@@ -57,7 +60,7 @@
     std::vector<caller_target> targets() const;
 
 private:
-    void write_configuration();
+    void write_configuration(std::uint64_t max_body_bytes);
     void write_entries();
     std::string entry_of(const std::string& service, std::uint16_t port) const;
 
--- a/src/tests/process/vm_process.cpp
+++ b/src/tests/process/vm_process.cpp
@@ -2,8 +2,10 @@
 
 #include "process/plain_socket.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <mutex>
 #include <set>
@@ -97,7 +99,8 @@
          << "[peers]\nports = " << m_origin.ports.peers << ","
          << m_origin.ports.peers + 15 << "\nseeds = " << seeds
          << "\n[store]\naddress = " << m_origin.store
-         << "\n[stop]\nwithin_s = " << m_origin.stop_within.count() << "\n";
+         << "\n[stop]\nwithin_s = " << m_origin.stop_within.count() << "\n"
+         << m_origin.more_settings;
 }
 
 void vm_process::start()
@@ -161,6 +164,30 @@
     return m_status;
 }
 
+std::size_t vm_process::peak_memory_kb() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string word;
+    std::size_t kb = 0;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            status >> kb;
+            break;
+        }
+    }
+    return kb;
+}
+
+std::size_t vm_process::open_descriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator open(
+        "/proc/" + std::to_string(m_pid) + "/fd", error);
+    return error ? 0
+                 : static_cast<std::size_t>(
+                       std::distance(begin(open), end(open)));
+}
+
 bool vm_process::ready() const
 {
     plain_socket connection(connect_to(m_host, m_origin.ports.ready));
--- a/src/tests/process/vm_process.hpp
+++ b/src/tests/process/vm_process.hpp
@@ -30,6 +30,8 @@
     vm_ports ports;
     unsigned vms = 0;
     std::chrono::seconds stop_within{6};
+    /** Further sections of the settings file. */
+    std::string more_settings;
 };
 
 /** Kills every VM process that runs; for an end without destructors. */
@@ -52,6 +54,11 @@
     /** Asks whether the VM is ready. */
     bool ready() const;
 
+    /** Returns the largest resident size so far, in KB; 0 once it has ended. */
+    std::size_t peak_memory_kb() const;
+    /** Returns how many descriptors the process has open. */
+    std::size_t open_descriptors() const;
+
     const std::string& host() const
     {
         return m_host;
