--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -61,6 +61,8 @@
     log_lines_dropped = 1804,
     settings_reloaded = 1805,
     slow_reader_dropped = 1806,
+    memory_pressure_changed = 1807,
+    descriptor_pressure_changed = 1808,
 };
 
 } // namespace cranberrywood
--- a/src/loop/backend_connection.cpp
+++ b/src/loop/backend_connection.cpp
@@ -28,6 +28,8 @@
  * servers may send without end at once.
  */
 constexpr message_limits answer_limits{65536, 4UL * 1024 * 1024};
+constexpr stream_accounts server_accounts{memory_account::server_answers,
+                                          memory_account::server_requests};
 
 /**
  * Returns whether a response below 200 comes before the answer. Nobody asks for
@@ -52,18 +54,29 @@
                                        backend_server_id server,
                                        const endpoint& address)
     : m_links(links), m_server(server), m_address(address),
-      m_stream(std::make_shared<stream_socket>(links.m_loop,
-                                               tcp_socket(links.m_loop.io))),
-      m_connect_timer(links.m_loop.io), m_reader(answer_limits)
+      m_stream(std::make_shared<stream_socket>(
+          links.m_loop, tcp_socket(links.m_loop.io), server_accounts)),
+      m_connect_timer(links.m_loop.io), m_reader(answer_limits),
+      m_answer_held(links.m_loop.memory, memory_account::server_answers),
+      m_request_held(links.m_loop.memory, memory_account::server_requests)
 {
 }
 
 void backend_connection::open(carried_exchange exchange)
 {
     m_exchange = std::move(exchange);
+    m_request_held.set(m_exchange->bytes.capacity());
     connect();
 }
 
+void backend_connection::refuse(carried_exchange exchange)
+{
+    m_exchange = std::move(exchange);
+    asio::post(m_links.m_loop.io, [self = shared_from_this()] {
+        self->not_connected(exchange_fault::not_connected);
+    });
+}
+
 void backend_connection::open_idle()
 {
     m_probing = true;
@@ -87,6 +100,12 @@
             self->not_connected(exchange_fault::not_connected);
         }
     });
+    const std::size_t buffer = m_links.m_loop.memory.limits().server_buffer;
+    if (buffer > 0) {
+        m_stream->socket().open(
+            ip.is_v4() ? asio::ip::tcp::v4() : asio::ip::tcp::v6(), error);
+        bound_buffers(m_stream->socket(), buffer);
+    }
     m_stream->socket().async_connect(
         {ip, m_address.port}, [self](const error_code& connect_error) {
             self->m_connect_timer.cancel();
@@ -121,6 +140,9 @@
 {
     m_connected = true;
     m_stream->listen(this);
+    // Answers of open requests are read until the hard limit, so that these
+    // requests end and give their memory back.
+    m_stream->yield_at(memory_pressure::hard);
     m_stream->start();
     if (m_probing) {
         m_probing = false;
@@ -147,6 +169,7 @@
         m_reader.expect_no_body();
     }
     m_stream->write(std::move(m_exchange->bytes));
+    m_request_held.set(0);
 }
 
 void backend_connection::close()
@@ -155,6 +178,8 @@
     m_probing = false;
     m_connect_timer.cancel();
     m_stream->close();
+    m_request_held.set(0);
+    m_answer_held.set(0);
 }
 
 void backend_connection::bytes_came(std::string_view bytes)
@@ -166,7 +191,9 @@
         return;
     }
     m_on_kept = false;
-    look(m_reader.feed(bytes));
+    const read_state state = m_reader.feed(bytes);
+    m_answer_held.set(m_reader.held_bytes());
+    look(state);
 }
 
 void backend_connection::end_came()
@@ -228,6 +255,7 @@
 {
     const bool may_end = m_reader.current().need_eof();
     http_response response = m_reader.take();
+    m_answer_held.set(m_reader.held_bytes());
     const bool below_200 = response.result_int() < first_final_status;
     const bool interim = below_200 && is_interim(response);
     const bool ends = may_end && !interim;
--- a/src/loop/backend_connection.hpp
+++ b/src/loop/backend_connection.hpp
@@ -31,10 +31,17 @@
 
     /** Connects and then sends the exchange. */
     void open(carried_exchange exchange);
+    /** Reports the exchange as not connected, later. */
+    void refuse(carried_exchange exchange);
     /** Connects and stays idle; the result is that of a probe. */
     void open_idle();
     /** Sends an exchange on the idle connection. */
     void send(carried_exchange exchange);
+    /** Reads on if the memory pressure allows it again. */
+    void pressure_fell()
+    {
+        m_stream->pressure_fell();
+    }
     /** Closes and reports nothing. */
     void close();
 
@@ -79,6 +86,10 @@
     std::shared_ptr<stream_socket> m_stream;
     boost::asio::steady_timer m_connect_timer;
     response_reader m_reader;
+    /** Bytes of the answer so far. */
+    memory_hold m_answer_held;
+    /** Bytes of a request that waits for the connection. */
+    memory_hold m_request_held;
     std::optional<carried_exchange> m_exchange;
     bool m_connected = false;
     /** It is opened for a probe that has not ended. */
--- a/src/loop/backend_links.cpp
+++ b/src/loop/backend_links.cpp
@@ -3,6 +3,7 @@
 #include "loop/backend_connection.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace cranberrywood {
 
@@ -39,6 +40,11 @@
     }
     auto fresh = std::make_shared<backend_connection>(*this, exchange.server,
                                                       exchange.address);
+    if (!make_room()) {
+        m_busy[exchange.exchange] = fresh;
+        fresh->refuse(std::move(carried));
+        return;
+    }
     ++m_opened;
     m_busy[exchange.exchange] = fresh;
     fresh->open(std::move(carried));
@@ -58,6 +64,13 @@
     if (m_probes.count(probe.server) != 0) {
         return;
     }
+    if (!make_room()) {
+        // A probe proves nothing while this VM has no descriptor for it.
+        boost::asio::post(m_loop.io, [this, server = probe.server] {
+            m_handler.server_probed(server, probe_result::unreachable);
+        });
+        return;
+    }
     pool_of(probe.server, probe.address);
     auto fresh = std::make_shared<backend_connection>(*this, probe.server,
                                                       probe.address);
@@ -66,6 +79,41 @@
     fresh->open_idle();
 }
 
+bool backend_links::make_room()
+{
+    constexpr auto unlimited = std::numeric_limits<std::size_t>::max();
+    if (m_most == unlimited || connections() < m_most) {
+        return true;
+    }
+    // Connections of a pool stand in the order of their last use.
+    pool* longest = nullptr;
+    const time_point now = m_loop.time.now();
+    for (auto& [server, p] : m_pools) {
+        if (!p.idle.empty() &&
+            (longest == nullptr || p.idle.front()->rested(now) >
+                                       longest->idle.front()->rested(now))) {
+            longest = &p;
+        }
+    }
+    if (longest == nullptr) {
+        return false;
+    }
+    longest->idle.front()->close();
+    longest->idle.erase(longest->idle.begin());
+    return true;
+}
+
+void backend_links::pressure_fell()
+{
+    std::vector<connection_pointer> all;
+    for (const auto& [exchange, connection] : m_busy) {
+        all.push_back(connection);
+    }
+    for (const auto& connection : all) {
+        connection->pressure_fell();
+    }
+}
+
 void backend_links::sweep(time_point now)
 {
     for (auto it = m_pools.begin(); it != m_pools.end();) {
--- a/src/loop/backend_links.hpp
+++ b/src/loop/backend_links.hpp
@@ -7,6 +7,7 @@
 #include "loop/loop_context.hpp"
 #include "loop/rest_limits.hpp"
 
+#include <limits>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -51,6 +52,19 @@
     /** Opens a connection and keeps it for the next exchange. */
     void probe(const probe_server& probe);
 
+    /** Sets how many connections may be open or in the making. */
+    void limit_connections(std::size_t most)
+    {
+        m_most = most;
+    }
+    /** Reads on where the memory pressure had stopped it. */
+    void pressure_fell();
+    /** Returns the number of connections that are open or in the making. */
+    std::size_t connections() const
+    {
+        return m_busy.size() + m_probes.size() + idle_connections();
+    }
+
     /** Closes connections that were idle for long. */
     void sweep(time_point now);
 
@@ -72,6 +86,8 @@
 
     pool& pool_of(backend_server_id server, const endpoint& address);
     connection_pointer take_idle(pool& p);
+    /** Closes the longest idle connection if need be; says if one may open. */
+    bool make_room();
     void became_idle(const connection_pointer& connection);
     void ended(backend_connection* connection);
     void probed(const connection_pointer& connection, probe_result result);
@@ -84,6 +100,7 @@
     std::unordered_map<backend_server_id, connection_pointer> m_probes;
     rest_limits m_rest_limits;
     std::uint64_t m_opened = 0;
+    std::size_t m_most = std::numeric_limits<std::size_t>::max();
 };
 
 } // namespace cranberrywood
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -46,7 +46,8 @@
                                      std::shared_ptr<stream_socket> stream,
                                      const front_limits& limits, time_point now)
     : m_front(front), m_stream(std::move(stream)), m_reader(limits.message),
-      m_limits(limits), m_since(now)
+      m_reading(front.m_loop.memory, front.m_accounts.read), m_limits(limits),
+      m_since(now)
 {
 }
 
@@ -55,6 +56,9 @@
     m_stream->listen(this);
     m_stream->start();
     m_stream->set_silence_limit(max_stall);
+    m_stream->count_kernel_buffer(2 *
+                                  m_front.m_loop.memory.limits().caller_buffer);
+    set_idle(true);
 }
 
 void caller_connection::limit(const front_limits& limits)
@@ -70,6 +74,7 @@
     }
     if (m_phase == phase::answering) {
         m_reader.feed(bytes);
+        count_reading();
         if (m_reader.kept_bytes() > max_pipelined_bytes) {
             m_stream->pause_reading();
         }
@@ -77,8 +82,55 @@
     }
     if (m_reader.state() == read_state::empty) {
         m_since = m_front.m_loop.time.now();
+        set_idle(false);
+    }
+    const read_state state = m_reader.feed(bytes);
+    count_reading();
+    look(state);
+}
+
+// A new head is read, so that its request can be refused at once; a body, and
+// requests behind an open one, can wait in the kernel.
+void caller_connection::count_reading()
+{
+    m_reading.set(m_reader.held_bytes());
+    if (m_front.m_sheds) {
+        const bool can_wait =
+            m_phase == phase::answering || m_reader.header_complete();
+        m_stream->yield_at(can_wait ? memory_pressure::soft
+                                    : memory_pressure::hard);
+    }
+}
+
+/** Refuses a request for which there is no memory; returns whether it did. */
+bool caller_connection::refused_for_memory(read_state state)
+{
+    if (!m_front.m_sheds || !m_reader.header_complete()) {
+        return false;
+    }
+    const memory_pressure pressure = m_front.m_loop.memory.pressure();
+    const bool admitted = m_admitted ? state != read_state::complete ||
+                                           pressure != memory_pressure::hard
+                                     : pressure == memory_pressure::none;
+    if (admitted) {
+        m_admitted = true;
+        return false;
+    }
+    m_reader.reset();
+    m_reading.set(0);
+    write(m_front.m_handler.refuse_for_memory(), true);
+    linger();
+    return true;
+}
+
+void caller_connection::set_idle(bool idle)
+{
+    if (idle && !m_idle) {
+        m_idle = m_front.m_idle.insert(m_front.m_idle.end(), this);
+    } else if (!idle && m_idle) {
+        m_front.m_idle.erase(*m_idle);
+        m_idle.reset();
     }
-    look(m_reader.feed(bytes));
 }
 
 // A caller that ends its direction has left: HTTP callers do not close half
@@ -95,6 +147,11 @@
 
 void caller_connection::look(read_state state)
 {
+    const bool may_refuse =
+        state == read_state::partial || state == read_state::complete;
+    if (may_refuse && refused_for_memory(state)) {
+        return;
+    }
     switch (state) {
     case read_state::empty:
         return;
@@ -120,7 +177,10 @@
 {
     m_phase = phase::answering;
     m_continue_sent = false;
+    m_admitted = false;
+    set_idle(false);
     http_request request = m_reader.take();
+    count_reading();
     m_keep_alive = request.keep_alive();
     m_head = request.method() == http::verb::head;
     m_token = m_front.token_for(shared_from_this());
@@ -153,8 +213,11 @@
     }
     m_phase = phase::reading;
     m_since = now;
+    const read_state state = m_reader.resume();
+    count_reading();
+    set_idle(state == read_state::empty);
     m_stream->resume_reading();
-    look(m_reader.resume());
+    look(state);
 }
 
 void caller_connection::write(const http_answer_text& text, bool close)
@@ -198,6 +261,9 @@
 void caller_connection::linger()
 {
     m_phase = phase::lingering;
+    set_idle(false);
+    // What comes is dropped and costs no memory.
+    m_stream->yield_at(std::nullopt);
     m_since = m_front.m_loop.time.now();
     m_stream->resume_reading();
     m_stream->finish_writing();
@@ -260,6 +326,8 @@
 {
     const auto self = shared_from_this();
     m_stream->close();
+    set_idle(false);
+    m_reading.set(0);
     if (m_phase == phase::answering && m_token.is_set()) {
         const caller_token token = m_token;
         m_token = caller_token();
--- a/src/loop/caller_connection.hpp
+++ b/src/loop/caller_connection.hpp
@@ -4,6 +4,7 @@
 #include "loop/caller_front.hpp"
 #include "loop/stream_socket.hpp"
 
+#include <list>
 #include <optional>
 
 namespace cranberrywood {
@@ -33,6 +34,21 @@
     {
         return m_stream->stalled(now);
     }
+    /** Returns how many bytes of an unfinished request are held. */
+    std::size_t request_bytes() const
+    {
+        return m_phase == phase::reading ? m_reading.bytes() : 0;
+    }
+    /** Returns the time since the first byte of the request. */
+    duration request_age(time_point now) const
+    {
+        return now - m_since;
+    }
+    /** Reads on if the memory pressure allows it again. */
+    void pressure_fell()
+    {
+        m_stream->pressure_fell();
+    }
     /** Ends the connection and the wait for an answer. */
     void end();
     /** Closes at once and tells nobody. */
@@ -56,6 +72,9 @@
     };
 
     void look(read_state state);
+    void count_reading();
+    bool refused_for_memory(read_state state);
+    void set_idle(bool idle);
     void request_complete();
     duration network_time();
     void refuse(read_state state);
@@ -67,6 +86,8 @@
     caller_front& m_front;
     std::shared_ptr<stream_socket> m_stream;
     request_reader m_reader;
+    /** Bytes of the request being read, and of what came behind it. */
+    memory_hold m_reading;
     front_limits m_limits;
     phase m_phase = phase::reading;
     caller_token m_token;
@@ -75,6 +96,10 @@
     bool m_keep_alive = true;
     bool m_head = false;
     bool m_continue_sent = false;
+    /** The head was read while there was memory for the request. */
+    bool m_admitted = false;
+    /** Place among the idle connections. */
+    std::optional<std::list<caller_connection*>::iterator> m_idle;
     /** Start of the phase, or of the request's first byte. */
     time_point m_since;
 };
--- a/src/loop/caller_front.cpp
+++ b/src/loop/caller_front.cpp
@@ -17,11 +17,15 @@
 
 /** Pause before accepting again when descriptors ran out. */
 constexpr auto accept_pause = std::chrono::milliseconds(50);
+/** Time for which a caller may take or send nothing when others wait. */
+constexpr duration late_when_full = std::chrono::seconds(2);
 
 } // namespace
 
-caller_front::caller_front(loop_context& loop, request_handler& handler)
-    : m_loop(loop), m_handler(handler), m_acceptor(loop.io)
+caller_front::caller_front(loop_context& loop, request_handler& handler,
+                           stream_accounts accounts, bool sheds)
+    : m_loop(loop), m_handler(handler), m_acceptor(loop.io),
+      m_accounts(accounts), m_sheds(sheds)
 {
 }
 
@@ -44,6 +48,11 @@
     if (!error) {
         m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     }
+    const std::size_t buffer = m_loop.memory.limits().caller_buffer;
+    if (!error && buffer > 0) {
+        // Accepted connections inherit the bounds.
+        bound_buffers(m_acceptor, buffer);
+    }
     if (!error) {
         m_acceptor.bind(at, error);
     }
@@ -84,9 +93,20 @@
 void caller_front::take(tcp::socket socket)
 {
     if (m_connections.size() >= m_limits.max_connections) {
-        return;
+        m_full = true;
+        // One that still has to take its answer is not idle.
+        const auto idle = std::find_if(
+            m_idle.begin(), m_idle.end(),
+            [](const caller_connection* c) { return c->held_bytes() == 0; });
+        if (idle == m_idle.end()) {
+            ++m_closed.turned_away;
+            return;
+        }
+        ++m_closed.idle;
+        (*idle)->end();
     }
-    auto stream = std::make_shared<stream_socket>(m_loop, std::move(socket));
+    auto stream =
+        std::make_shared<stream_socket>(m_loop, std::move(socket), m_accounts);
     auto connection = std::make_shared<caller_connection>(
         *this, std::move(stream), m_limits, m_loop.time.now());
     m_connections[connection.get()] = connection;
@@ -151,6 +171,98 @@
     }
 }
 
+void caller_front::pressure_fell()
+{
+    std::vector<std::shared_ptr<caller_connection>> all;
+    for (const auto& [key, connection] : m_connections) {
+        all.push_back(connection);
+    }
+    for (const auto& connection : all) {
+        connection->pressure_fell();
+    }
+}
+
+void caller_front::relieve(std::size_t excess, duration late)
+{
+    const std::size_t before = m_loop.memory.sum();
+    const auto enough = [&] { return m_loop.memory.sum() + excess <= before; };
+    close_late(late, enough);
+}
+
+// Callers that hold a connection by stalling would keep others out as idle ones
+// do.
+void caller_front::make_room()
+{
+    const std::size_t most = m_limits.max_connections;
+    const bool has_idle = std::any_of(
+        m_idle.begin(), m_idle.end(),
+        [](const caller_connection* c) { return c->held_bytes() == 0; });
+    if (!m_full || m_connections.size() < most || has_idle) {
+        return;
+    }
+    const auto enough = [&] { return m_connections.size() <= most / 8 * 7; };
+    close_late(late_when_full, enough);
+}
+
+void caller_front::close_late(duration late,
+                              const std::function<bool()>& enough)
+{
+    for (const auto& reader : stalled_readers(late)) {
+        if (enough()) {
+            return;
+        }
+        ++m_closed.slow_readers;
+        reader->end();
+    }
+    for (const auto& body : slow_bodies(late)) {
+        if (enough()) {
+            return;
+        }
+        ++m_closed.slow_bodies;
+        body->end();
+    }
+}
+
+std::vector<std::shared_ptr<caller_connection>>
+caller_front::stalled_readers(duration late) const
+{
+    const time_point now = m_loop.time.now();
+    std::vector<std::shared_ptr<caller_connection>> readers;
+    for (const auto& [key, connection] : m_connections) {
+        if (connection->held_bytes() > 0 && connection->stalled(now) >= late) {
+            readers.push_back(connection);
+        }
+    }
+    std::sort(readers.begin(), readers.end(),
+              [&](const auto& a, const auto& b) {
+                  return std::make_pair(a->stalled(now), a->held_bytes()) >
+                         std::make_pair(b->stalled(now), b->held_bytes());
+              });
+    return readers;
+}
+
+std::vector<std::shared_ptr<caller_connection>>
+caller_front::slow_bodies(duration late) const
+{
+    const time_point now = m_loop.time.now();
+    const auto rate = [now](const auto& c) {
+        const double seconds =
+            std::chrono::duration<double>(c->request_age(now)).count();
+        return static_cast<double>(c->request_bytes()) /
+               std::max(seconds, 1e-9);
+    };
+    std::vector<std::shared_ptr<caller_connection>> bodies;
+    for (const auto& [key, connection] : m_connections) {
+        if (connection->request_bytes() > 0 &&
+            connection->request_age(now) >= late) {
+            bodies.push_back(connection);
+        }
+    }
+    std::sort(bodies.begin(), bodies.end(),
+              [&](const auto& a, const auto& b) { return rate(a) < rate(b); });
+    return bodies;
+}
+
 void caller_front::close_after_answers()
 {
     m_closing = true;
@@ -193,6 +305,9 @@
     for (const auto& connection : all) {
         connection->sweep(now);
     }
+    make_room();
+    // An eighth must be free again, so that the state does not alternate.
+    m_full = m_full && m_connections.size() >= m_limits.max_connections / 8 * 7;
 }
 
 caller_token
--- a/src/loop/control_front.cpp
+++ b/src/loop/control_front.cpp
@@ -67,9 +67,14 @@
 
 void control_front::limit_body(std::uint64_t bytes)
 {
-    front_limits limits;
-    limits.message.body_bytes = bytes;
-    m_front.limit(limits);
+    m_limits.message.body_bytes = bytes;
+    m_front.limit(m_limits);
+}
+
+void control_front::limit_connections(std::size_t most)
+{
+    m_limits.max_connections = most;
+    m_front.limit(m_limits);
 }
 
 std::optional<std::string> control_front::listen(const endpoint& address)
--- a/src/loop/control_front.hpp
+++ b/src/loop/control_front.hpp
@@ -44,6 +44,12 @@
     void answer(caller_token token, std::string body);
     /** Sets the largest body of a call, in bytes. */
     void limit_body(std::uint64_t bytes);
+    /** Sets how many connections may be open. */
+    void limit_connections(std::size_t most);
+    std::size_t connections() const
+    {
+        return m_front.connections();
+    }
     std::optional<std::string> listen(const endpoint& address);
 
     /** Answers those that wait for news, up to a place. */
@@ -81,6 +87,7 @@
     /** Unanswered calls, and who is told when their callers close. */
     std::map<caller_token, closed_handler> m_calls;
     std::map<caller_token, waiter> m_waiters;
+    front_limits m_limits;
 };
 
 } // namespace cranberrywood
--- a/src/loop/gateway_metrics.cpp
+++ b/src/loop/gateway_metrics.cpp
@@ -77,6 +77,42 @@
     return family;
 }
 
+MetricFamily memory_accounts(const memory_ledger& memory)
+{
+    MetricFamily family;
+    family.name = prefix + std::string("held_bytes");
+    family.help = "Bytes held for others, by account.";
+    family.type = MetricType::Gauge;
+    for (std::size_t i = 0; i < memory_ledger::accounts; ++i) {
+        const auto account = static_cast<memory_account>(i);
+        ClientMetric metric;
+        metric.label.push_back({"account", name_of(account)});
+        metric.gauge.value = static_cast<double>(memory.bytes(account));
+        family.metric.push_back(metric);
+    }
+    return family;
+}
+
+MetricFamily closed_counters(const closed_connections& closed)
+{
+    MetricFamily family;
+    family.name = prefix + std::string("connections_closed_total");
+    family.help = "Callers' connections closed for want of memory or "
+                  "descriptors, by reason.";
+    family.type = MetricType::Counter;
+    const auto add = [&](const char* reason, std::uint64_t count) {
+        ClientMetric metric;
+        metric.label.push_back({"reason", reason});
+        metric.counter.value = static_cast<double>(count);
+        family.metric.push_back(metric);
+    };
+    add("slow_reader", closed.slow_readers);
+    add("slow_body", closed.slow_bodies);
+    add("idle", closed.idle);
+    add("turned_away", closed.turned_away);
+    return family;
+}
+
 MetricFamily dropped_lines(std::size_t count)
 {
     MetricFamily family;
@@ -129,6 +165,20 @@
         "1 if requests can reach backend servers, through other VMs if need "
         "be.",
         state.reaches_servers);
+    add("caller_connections_limit", "Most connections of callers.",
+        state.max_caller_connections);
+    add("server_connections", "Connections to backend servers.",
+        state.server_connections);
+    add("descriptors", "File descriptors in use.", state.descriptors);
+    if (state.memory != nullptr) {
+        const memory_limits& limits = state.memory->limits();
+        add("held_bytes_soft_limit",
+            "Held bytes from which on requests are refused.", limits.soft);
+        add("held_bytes_hard_limit",
+            "Held bytes from which on connections are closed.", limits.hard);
+        families.push_back(memory_accounts(*state.memory));
+    }
+    families.push_back(closed_counters(state.closed));
     families.push_back(event_counters(state.events));
     families.push_back(dropped_lines(state.log_lines_dropped));
     return prometheus::TextSerializer().Serialize(families);
--- a/src/loop/gateway_metrics.hpp
+++ b/src/loop/gateway_metrics.hpp
@@ -2,6 +2,7 @@
 #define CRANBERRYWOOD_LOOP_GATEWAY_METRICS_HPP
 
 #include "core/gateway_messages.hpp"
+#include "loop/caller_front.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/registry.h>
@@ -24,6 +25,12 @@
     std::size_t caller_connections = 0;
     bool ready = false;
     bool reaches_servers = false;
+    /** Bytes held by account; null: not known. */
+    const memory_ledger* memory = nullptr;
+    closed_connections closed;
+    std::size_t descriptors = 0;
+    std::size_t server_connections = 0;
+    std::size_t max_caller_connections = 0;
     std::size_t log_lines_dropped = 0;
     /** Log events written, by number. */
     std::map<std::uint32_t, std::uint64_t> events;
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -4,7 +4,10 @@
 #include "wire/gateway_codec.hpp"
 #include "wire/relay_codec.hpp"
 
+#include <boost/asio/post.hpp>
 #include <csignal>
+#include <filesystem>
+#include <malloc.h>
 #include <random>
 
 namespace cranberrywood {
@@ -32,6 +35,49 @@
     return {};
 }
 
+constexpr stream_accounts caller_accounts{memory_account::request_reading,
+                                          memory_account::caller_answers};
+/** Time for which a caller may take or send nothing while memory is short. */
+constexpr duration late_under_pressure = 2s;
+/** The same above the hard limit, before those that are not late are closed. */
+constexpr duration late_above_hard_limit = 1s;
+/** Delays given to callers that are refused for want of memory. */
+constexpr duration least_memory_wait = 500ms;
+constexpr std::uint64_t memory_wait_spread_ms = 1000;
+/** Allocations from this size on are returned to the system when freed. */
+constexpr int mapped_allocation = 65536;
+
+/** A value that counts as held as long as anyone refers to it. */
+template <class Value>
+std::shared_ptr<const Value>
+counted(memory_ledger& ledger, memory_account account,
+        std::shared_ptr<const Value> value, std::size_t bytes)
+{
+    struct holder
+    {
+        holder(memory_ledger& l, memory_account a,
+               std::shared_ptr<const Value> v)
+            : value(std::move(v)), hold(l, a)
+        {
+        }
+        std::shared_ptr<const Value> value;
+        memory_hold hold;
+    };
+    auto kept = std::make_shared<holder>(ledger, account, std::move(value));
+    kept->hold.set(bytes);
+    const Value* plain = kept->value.get();
+    return {std::move(kept), plain};
+}
+
+std::size_t descriptors_in_use()
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator open("/proc/self/fd", error);
+    return error ? 0
+                 : static_cast<std::size_t>(
+                       std::distance(begin(open), end(open)));
+}
+
 std::uint64_t process_seed()
 {
     std::random_device device;
@@ -51,14 +97,17 @@
           m_loop, adapter, log, {m_file.store, m_file.control.port}, m_random,
           m_gateway, [this](const gateway_event& event) { handle(event); },
           [this](std::uint64_t place) { m_control_front.news(place); }),
-      m_front(m_loop, *this), m_ready_front(m_loop, no_updates),
+      m_front(m_loop, *this, caller_accounts, true),
+      m_ready_front(m_loop, no_updates),
       m_control_front(m_loop,
                       [this](incarnation process, std::uint64_t place) {
                           return m_store.update_for_followers(process, place);
                       }),
-      m_links(m_loop, *this),
-      m_relay_links(m_loop, m_file.control.port,
-                    [this](exchange_ended ended) { handle(ended); }),
+      m_links(m_loop, *this), m_relay_links(m_loop, m_file.control.port,
+                                            [this](exchange_ended ended) {
+                                                count_answer(ended);
+                                                handle(ended);
+                                            }),
       m_peers(
           m_loop,
           [this](const std::string& from, gateway_datagram datagram) {
@@ -69,6 +118,31 @@
           }),
       m_timer(m_io), m_sweep_timer(m_io), m_signals(m_io)
 {
+    apply_limits();
+}
+
+void gateway_process::apply_limits()
+{
+    if (m_file.memory_mb) {
+        m_loop.memory.limit(limits_of_memory(*m_file.memory_mb));
+        m_loop.memory.on_change(
+            [this](memory_pressure /*now*/) { pressure_changed(); });
+        // By default the threshold grows with what is freed, and large answers
+        // then leave a heap that is never given back.
+        ::mallopt(M_MMAP_THRESHOLD, mapped_allocation);
+        ::mallopt(M_TRIM_THRESHOLD, mapped_allocation);
+        m_front_limits.max_held_bytes = m_loop.memory.limits().hard;
+    }
+    if (m_file.open_files) {
+        const descriptor_budget budget =
+            budget_of_descriptors(*m_file.open_files);
+        m_front_limits.max_connections = budget.callers;
+        m_links.limit_connections(budget.servers);
+        m_control_front.limit_connections(budget.peers_in / 4 * 3);
+        m_ready_front.limit_connections(budget.peers_in / 4);
+        m_relay_links.limit_connections(budget.peers_out);
+    }
+    m_front.limit(m_front_limits);
 }
 
 int gateway_process::run()
@@ -132,8 +206,16 @@
                        {{}, exchange_failure{exchange_fault::declined}, {}}));
         return;
     }
+    if (m_loop.memory.pressure() != memory_pressure::none) {
+        m_control_front.answer(
+            token, encode_relay_result(
+                       {{}, exchange_failure{exchange_fault::declined}, {}}));
+        return;
+    }
     auto& request = std::get<relay_request>(decoded);
     request.deadline -= m_lag.at(m_clock.now());
+    request.outbound =
+        counted_request(std::move(request.outbound), memory_account::peers);
     handle(relay_requested{relay_token(token.value()), std::move(request)});
 }
 
@@ -152,6 +234,8 @@
     const time_point now = m_clock.now();
     asked.arrived = now - m_lag.at(now);
     asked.network_time = network_time;
+    asked.outbound = counted_request(std::move(asked.outbound),
+                                     memory_account::open_requests);
     handle(std::move(asked));
 }
 
@@ -166,6 +250,97 @@
                 "status=" + std::to_string(status) + " why=\"no request\"");
 }
 
+http_answer_text gateway_process::refuse_for_memory()
+{
+    refused_answer refused;
+    refused.why = refusal_reason::overloaded;
+    // Drawn, so that callers do not come back all at once.
+    refused.retry_after =
+        least_memory_wait +
+        std::chrono::milliseconds(m_random.below(memory_wait_spread_ms));
+    const gateway_answer answer = refused;
+    m_metrics.answered(answer);
+    return m_adapter.write_answer(answer);
+}
+
+// Connections are not closed from within, as the change may come from one.
+void gateway_process::pressure_changed()
+{
+    if (m_pressure_posted) {
+        return;
+    }
+    m_pressure_posted = true;
+    boost::asio::post(m_io, [this] {
+        m_pressure_posted = false;
+        relieve_memory();
+    });
+}
+
+void gateway_process::relieve_memory()
+{
+    const memory_ledger& memory = m_loop.memory;
+    if (memory.pressure() > m_reported_pressure) {
+        report_pressure();
+    }
+    if (memory.pressure() == memory_pressure::hard) {
+        m_front.relieve(memory.excess_of(memory_pressure::hard),
+                        late_above_hard_limit);
+    }
+    if (memory.pressure() == memory_pressure::hard) {
+        m_front.relieve(memory.excess_of(memory_pressure::hard), duration(0));
+    }
+    if (memory.pressure() < memory_pressure::hard) {
+        m_links.pressure_fell();
+        m_front.pressure_fell();
+    }
+}
+
+void gateway_process::report_pressure()
+{
+    const memory_ledger& memory = m_loop.memory;
+    m_reported_pressure = memory.pressure();
+    std::string text = std::string("pressure=") + name_of(m_reported_pressure) +
+                       " held_bytes=" + std::to_string(memory.sum()) +
+                       " soft_limit=" + std::to_string(memory.limits().soft) +
+                       " hard_limit=" + std::to_string(memory.limits().hard);
+    for (std::size_t i = 0; i < memory_ledger::accounts; ++i) {
+        const auto account = static_cast<memory_account>(i);
+        text += std::string(" ") + name_of(account) + "=" +
+                std::to_string(memory.bytes(account));
+    }
+    const closed_connections& closed = m_front.closed();
+    text += " closed_readers=" + std::to_string(closed.slow_readers) +
+            " closed_bodies=" + std::to_string(closed.slow_bodies);
+    m_log.write(log_code::memory_pressure_changed, text);
+}
+
+// A fall is reported here only, so that a sum near a limit writes few lines.
+void gateway_process::review_limits()
+{
+    const memory_ledger& memory = m_loop.memory;
+    if (memory.pressure() < m_reported_pressure) {
+        report_pressure();
+    }
+    if (memory.pressure() != memory_pressure::none) {
+        // Otherwise those that wait for nothing would keep all others out
+        // until their time is over.
+        m_front.relieve(memory.excess_of(memory_pressure::soft),
+                        late_under_pressure);
+        relieve_memory();
+    }
+    if (m_front.is_full() != m_reported_full) {
+        m_reported_full = m_front.is_full();
+        const closed_connections& closed = m_front.closed();
+        m_log.write(
+            log_code::descriptor_pressure_changed,
+            std::string("full=") + (m_reported_full ? "1" : "0") +
+                " caller_connections=" + std::to_string(m_front.connections()) +
+                " limit=" + std::to_string(m_front_limits.max_connections) +
+                " closed_idle=" + std::to_string(closed.idle) +
+                " turned_away=" + std::to_string(closed.turned_away));
+    }
+}
+
 void gateway_process::slow_reader_dropped(std::size_t held_bytes,
                                           duration stalled)
 {
@@ -183,8 +358,30 @@
 void gateway_process::exchange_answered(exchange_id exchange,
                                         http_response response)
 {
-    handle(
-        exchange_ended{exchange, m_adapter.read_answer(std::move(response))});
+    exchange_ended ended{
+        exchange, m_adapter.read_answer(std::move(response)), {}};
+    count_answer(ended);
+    handle(ended);
+}
+
+std::shared_ptr<const outbound_request> gateway_process::counted_request(
+    std::shared_ptr<const outbound_request> request, memory_account account)
+{
+    const std::size_t bytes =
+        request->body.size() + request->header_lines.size();
+    return counted(m_loop.memory, account, std::move(request), bytes);
+}
+
+// The bytes count until the last reference to the message is gone.
+void gateway_process::count_answer(exchange_ended& ended)
+{
+    auto* answer = std::get_if<backend_answer>(&ended.result);
+    if (answer != nullptr && answer->message != nullptr) {
+        const std::size_t bytes =
+            answer->message->body.size() + answer->message->header_lines.size();
+        answer->message = counted(m_loop.memory, memory_account::parts,
+                                  std::move(answer->message), bytes);
+    }
 }
 
 void gateway_process::exchange_failed(exchange_id exchange,
@@ -206,7 +403,7 @@
         return;
     }
     m_version = settings->version;
-    front_limits limits;
+    front_limits& limits = m_front_limits;
     limits.message = {settings->limits.header_bytes,
                       settings->limits.body_bytes};
     limits.header_timeout = settings->limits.header_timeout;
@@ -305,6 +502,7 @@
     m_store.review();
     m_links.sweep(now);
     m_relay_links.sweep(now);
+    review_limits();
     m_log.report_dropped();
     if (m_stop && continue_stop(now)) {
         m_io.stop();
@@ -410,6 +608,11 @@
     state.reaches_servers = m_gateway.reaches_servers(now);
     state.log_lines_dropped = m_log.lines_dropped();
     state.events = m_log.counts();
+    state.memory = &m_loop.memory;
+    state.closed = m_front.closed();
+    state.descriptors = descriptors_in_use();
+    state.server_connections = m_links.connections();
+    state.max_caller_connections = m_front_limits.max_connections;
     return state;
 }
 
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -6,6 +6,7 @@
 #include "loop/boot_clock.hpp"
 #include "loop/caller_front.hpp"
 #include "loop/control_front.hpp"
+#include "loop/descriptor_budget.hpp"
 #include "loop/event_log.hpp"
 #include "loop/gateway_file.hpp"
 #include "loop/gateway_metrics.hpp"
@@ -37,6 +38,7 @@
                       duration network_time) override;
     void caller_closed(caller_token token) override;
     void bytes_refused(unsigned status) override;
+    http_answer_text refuse_for_memory() override;
     void slow_reader_dropped(std::size_t held_bytes, duration stalled) override;
 
     answer_match match(const http_response& response,
@@ -61,6 +63,15 @@
     bool ready() const;
     gateway_state state() const;
     void settings_changed();
+    void apply_limits();
+    std::shared_ptr<const outbound_request>
+    counted_request(std::shared_ptr<const outbound_request> request,
+                    memory_account account);
+    void count_answer(exchange_ended& ended);
+    void pressure_changed();
+    void relieve_memory();
+    void report_pressure();
+    void review_limits();
 
     gateway_file m_file;
     const platform_adapter& m_adapter;
@@ -88,6 +99,10 @@
     std::optional<stop_schedule> m_stop;
     bool m_accepting = true;
     std::uint64_t m_version = 0;
+    front_limits m_front_limits;
+    memory_pressure m_reported_pressure = memory_pressure::none;
+    bool m_pressure_posted = false;
+    bool m_reported_full = false;
 };
 
 } // namespace cranberrywood
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -13,7 +13,8 @@
 
 http_client::http_client(loop_context& loop, endpoint address)
     : m_loop(loop), m_address(std::move(address)), m_timer(loop.io),
-      m_connect_timer(loop.io), m_reader(answer_limits)
+      m_connect_timer(loop.io), m_reader(answer_limits),
+      m_held(loop.memory, memory_account::peers)
 {
 }
 
@@ -45,6 +46,7 @@
 {
     m_done = std::move(done);
     m_request = std::move(request);
+    m_held.set(m_request.size());
     m_request_written = false;
     const std::uint64_t call = ++m_call;
     m_timer.expires_after(limits.answer);
@@ -110,7 +112,9 @@
         drop_stream();
         return;
     }
-    look(m_reader.feed(bytes));
+    const read_state state = m_reader.feed(bytes);
+    m_held.set(m_request.size() + m_reader.held_bytes());
+    look(state);
 }
 
 void http_client::end_came()
@@ -156,7 +160,10 @@
     m_timer.cancel();
     if (std::holds_alternative<std::string>(result)) {
         drop_stream();
+        m_reader.reset();
     }
+    std::string().swap(m_request);
+    m_held.set(0);
     const done_handler done = std::exchange(m_done, nullptr);
     done(std::move(result));
 }
--- a/src/loop/http_client.hpp
+++ b/src/loop/http_client.hpp
@@ -66,6 +66,8 @@
     boost::asio::steady_timer m_connect_timer;
     std::shared_ptr<stream_socket> m_stream;
     response_reader m_reader;
+    /** Bytes of the request and of the answer so far. */
+    memory_hold m_held;
     std::string m_request;
     bool m_request_written = false;
     done_handler m_done;
--- a/src/loop/loop_context.hpp
+++ b/src/loop/loop_context.hpp
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYWOOD_LOOP_LOOP_CONTEXT_HPP
 #define CRANBERRYWOOD_LOOP_LOOP_CONTEXT_HPP
 
+#include "loop/memory_ledger.hpp"
 #include "units/time.hpp"
 
 #include <array>
@@ -15,6 +16,8 @@
     const clock& time;
     /** Bytes of one read; valid until the handler that reads returns. */
     std::array<char, 65536> scratch{};
+    /** Bytes held by connections and requests; without limits at first. */
+    memory_ledger memory{};
 };
 
 } // namespace cranberrywood
--- a/src/loop/message_reader.hpp
+++ b/src/loop/message_reader.hpp
@@ -116,6 +116,16 @@
     {
         return m_parser->get();
     }
+    /** Returns how many bytes are held of messages, approximately. */
+    std::size_t held_bytes() const
+    {
+        if (m_state == read_state::empty && m_input.empty()) {
+            return 0;
+        }
+        // The parser keeps the fields of a head once more.
+        return m_input.capacity() + 2 * m_head.capacity() +
+               m_parser->get().body().size();
+    }
     /** Returns how many bytes wait behind the message. */
     std::size_t kept_bytes() const
     {
@@ -166,6 +176,10 @@
                 break;
             }
         }
+        // An idle connection keeps no memory of its last message.
+        if (m_input.empty() && m_input.capacity() > small_input) {
+            std::string().swap(m_input);
+        }
         return m_state;
     }
 
@@ -202,6 +216,9 @@
                                                 : read_state::malformed;
     }
 
+    /** Input memory that is kept between messages. */
+    static constexpr std::size_t small_input = 512;
+
     message_limits m_limits;
     read_state m_state = read_state::empty;
     std::string m_input;
--- a/src/loop/relay_links.cpp
+++ b/src/loop/relay_links.cpp
@@ -30,6 +30,17 @@
 {
     const endpoint peer{relay.peer.substr(0, relay.peer.rfind(':')),
                         m_peer_port};
+    if (!has_room()) {
+        m_open[relay.exchange] = {peer, nullptr};
+        boost::asio::post(m_loop.io, [this, exchange = relay.exchange] {
+            if (m_open.erase(exchange) != 0) {
+                m_handler({exchange,
+                           exchange_failure{exchange_fault::not_connected},
+                           {}});
+            }
+        });
+        return;
+    }
     open_relay& open = m_open[relay.exchange];
     open = {peer, client_for(peer)};
     open.client->post(relay_path, encode(relay.request),
@@ -44,6 +55,20 @@
                       });
 }
 
+// Idle connections end before an exchange is turned away.
+bool relay_links::has_room()
+{
+    std::size_t idle = 0;
+    for (const auto& [peer, clients] : m_idle) {
+        idle += clients.size();
+    }
+    if (m_open.size() + idle < m_most) {
+        return true;
+    }
+    m_idle.clear();
+    return m_open.size() < m_most;
+}
+
 std::unique_ptr<http_client> relay_links::client_for(const endpoint& peer)
 {
     auto& idle = m_idle[to_string(peer)];
--- a/src/loop/relay_links.hpp
+++ b/src/loop/relay_links.hpp
@@ -5,6 +5,7 @@
 #include "loop/http_client.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -30,6 +31,11 @@
 
     void start(const start_relay& relay);
     void cancel(exchange_id exchange);
+    /** Sets how many connections may be open. */
+    void limit_connections(std::size_t most)
+    {
+        m_most = most;
+    }
     /** Closes connections that were idle for long. */
     void sweep(time_point now);
 
@@ -48,11 +54,14 @@
     std::unique_ptr<http_client> client_for(const endpoint& peer);
     void ended(exchange_id exchange, const http_result& result);
 
+    bool has_room();
+
     loop_context& m_loop;
     std::uint16_t m_peer_port;
     end_handler m_handler;
     std::unordered_map<exchange_id, open_relay> m_open;
     std::map<std::string, std::vector<idle_client>> m_idle;
+    std::size_t m_most = std::numeric_limits<std::size_t>::max();
 };
 
 } // namespace cranberrywood
--- a/src/loop/stream_socket.cpp
+++ b/src/loop/stream_socket.cpp
@@ -10,6 +10,9 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
+/** Output that is released in part once half of it has gone out. */
+constexpr std::size_t large_output = 65536;
+
 /** Time in which written bytes must be acknowledged. */
 constexpr std::chrono::milliseconds default_silence_limit{3000};
 
@@ -30,8 +33,11 @@
     set_user_timeout(socket, default_silence_limit);
 }
 
-stream_socket::stream_socket(loop_context& loop, tcp_socket socket)
-    : m_loop(loop), m_socket(std::move(socket))
+stream_socket::stream_socket(loop_context& loop, tcp_socket socket,
+                             stream_accounts accounts)
+    : m_loop(loop), m_socket(std::move(socket)),
+      m_unwritten(loop.memory, accounts.written),
+      m_unread(loop.memory, accounts.read)
 {
 }
 
@@ -62,6 +68,7 @@
         m_output = std::move(bytes);
     } else {
         m_output += bytes;
+        count_unwritten();
     }
     if (!m_writing) {
         write_some();
@@ -79,6 +86,15 @@
     wait_readable();
 }
 
+void stream_socket::pressure_fell()
+{
+    if (m_yielding && !yields()) {
+        m_yielding = false;
+        m_unread.set(0);
+        wait_readable();
+    }
+}
+
 void stream_socket::finish_writing()
 {
     m_finish_after_write = true;
@@ -94,6 +110,9 @@
     m_events = nullptr;
     error_code ignored;
     m_socket.close(ignored);
+    // Handlers that are still to run keep the stream, but not its bytes.
+    drop_output();
+    m_unread.set(0);
 }
 
 duration stream_socket::round_trip()
@@ -107,7 +126,7 @@
 
 void stream_socket::wait_readable()
 {
-    if (m_reading || m_paused || m_ended || !m_socket.is_open()) {
+    if (m_reading || m_paused || m_yielding || m_ended || !m_socket.is_open()) {
         return;
     }
     m_reading = true;
@@ -127,6 +146,11 @@
     const auto self = shared_from_this();
     bool more = true;
     while (more && !m_paused && m_socket.is_open()) {
+        if (yields()) {
+            m_yielding = true;
+            m_unread.set(m_kernel_bytes);
+            return;
+        }
         error_code error;
         const std::size_t size =
             m_socket.read_some(asio::buffer(m_loop.scratch), error);
@@ -156,27 +180,51 @@
 {
     while (!m_output.empty()) {
         error_code error;
-        const std::size_t size =
-            m_socket.write_some(asio::buffer(m_output), error);
+        const std::size_t size = m_socket.write_some(
+            asio::buffer(m_output.data() + m_written, unwritten_bytes()),
+            error);
         if (error == asio::error::would_block) {
+            count_unwritten();
             wait_writable();
             return;
         }
         if (error) {
             // The peer may have answered before it closed: the reader finds
             // the answer first, and then the end.
-            m_output.clear();
+            drop_output();
             wait_readable();
             return;
         }
-        m_output.erase(0, size);
+        m_written += size;
         m_progress_at = m_loop.time.now();
+        if (m_written == m_output.size()) {
+            drop_output();
+        }
     }
     if (m_finish_after_write) {
         finish_writing();
     }
 }
 
+// A caller that takes a byte at a time would else hold the whole answer. Each
+// byte is copied once at most, as a half goes at a time.
+void stream_socket::count_unwritten()
+{
+    if (m_written > large_output && m_written > m_output.size() / 2) {
+        m_output = std::string(m_output, m_written);
+        m_written = 0;
+    }
+    m_unwritten.set(m_output.capacity() + m_kernel_bytes);
+}
+
+// An idle connection keeps no memory of its last answer.
+void stream_socket::drop_output()
+{
+    std::string().swap(m_output);
+    m_written = 0;
+    m_unwritten.set(0);
+}
+
 void stream_socket::wait_writable()
 {
     m_writing = true;
--- a/src/loop/stream_socket.hpp
+++ b/src/loop/stream_socket.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,13 @@
 
 using tcp_socket = boost::asio::ip::tcp::socket;
 
+/** Accounts of the bytes that a stream keeps and leaves in the kernel. */
+struct stream_accounts
+{
+    memory_account read = memory_account::peers;
+    memory_account written = memory_account::peers;
+};
+
 /** What happens on a stream. */
 class stream_events
 {
@@ -34,7 +42,8 @@
 class stream_socket : public std::enable_shared_from_this<stream_socket>
 {
 public:
-    stream_socket(loop_context& loop, tcp_socket socket);
+    stream_socket(loop_context& loop, tcp_socket socket,
+                  stream_accounts accounts = {});
 
     /** Sets who is told; null: nobody, then nothing more is reported. */
     void listen(stream_events* events)
@@ -48,6 +57,19 @@
     /** Stops to read until resume; the peer is slowed down. */
     void pause_reading();
     void resume_reading();
+    /** Sets the pressure from which on nothing is read; none: always reads. */
+    void yield_at(std::optional<memory_pressure> pressure)
+    {
+        m_yield_at = pressure;
+        pressure_fell();
+    }
+    /** Reads on if the pressure allows it again. */
+    void pressure_fell();
+    /** Sets how many bytes the kernel keeps for each way when it is full. */
+    void count_kernel_buffer(std::size_t bytes)
+    {
+        m_kernel_bytes = bytes;
+    }
     /** Ends the direction towards the peer after what was written. */
     void finish_writing();
     /** Closes at once and reports nothing more. */
@@ -68,7 +90,7 @@
     /** Returns how many bytes wait until the peer takes more. */
     std::size_t unwritten_bytes() const
     {
-        return m_output.size();
+        return m_output.size() - m_written;
     }
     /** Returns for how long the peer has taken nothing of what waits. */
     duration stalled(time_point now) const
@@ -86,6 +108,12 @@
     void wait_readable();
     void read_ready();
     void write_some();
+    bool yields() const
+    {
+        return m_yield_at && m_loop.memory.pressure() >= *m_yield_at;
+    }
+    void count_unwritten();
+    void drop_output();
     void wait_writable();
     void fail();
 
@@ -93,6 +121,14 @@
     tcp_socket m_socket;
     stream_events* m_events = nullptr;
     std::string m_output;
+    /** Bytes of the output that the kernel has taken. */
+    std::size_t m_written = 0;
+    std::size_t m_kernel_bytes = 0;
+    memory_hold m_unwritten;
+    /** Bytes that the kernel may hold while nothing is read. */
+    memory_hold m_unread;
+    std::optional<memory_pressure> m_yield_at;
+    bool m_yielding = false;
     /** When bytes were last taken, or began to wait. */
     time_point m_progress_at;
     bool m_reading = false;
@@ -105,6 +141,19 @@
 /** Sets the options of a connected socket: no delay, bounded silence. */
 void set_stream_options(tcp_socket& socket);
 
+/** Bounds the kernel's buffers; before it connects or listens. */
+template <class Socket>
+void bound_buffers(Socket& socket, std::size_t bytes)
+{
+    boost::system::error_code ignored;
+    const int size = static_cast<int>(bytes);
+    // Failure leaves the system's own bounds.
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(size),
+                      ignored);
+    socket.set_option(boost::asio::socket_base::send_buffer_size(size),
+                      ignored);
+}
+
 } // namespace cranberrywood
 
 #endif
--- a/src/tests/loop/backend_links_test.cpp
+++ b/src/tests/loop/backend_links_test.cpp
@@ -406,3 +406,42 @@
     CHECK_EQUAL(0, links->idle_connections());
     CHECK_EQUAL(3, links->connections_opened());
 }
+
+// Guards against an answer that grows though connections are being closed for
+// want of memory.
+TEST(backend_links, an_answer_waits_above_the_hard_limit)
+{
+    loop->memory.limit({1000, 2000, 0, 0});
+    start("a");
+    const auto peer = accept();
+    await_request(*peer, "a");
+    memory_hold other(loop->memory, memory_account::parts);
+    other.set(3000);
+    const std::string whole = answer("a", std::string(500, 'x'));
+    peer->send(whole);
+    io.restart();
+    io.run_for(30ms);
+    CHECK_EQUAL(0U, handler.ended());
+    CHECK_EQUAL(0U, loop->memory.bytes(memory_account::server_answers));
+    other.set(0);
+    links->pressure_fell();
+    await_end(1);
+    CHECK_EQUAL(1U, handler.answers.size());
+    CHECK_EQUAL(0U, loop->memory.sum());
+}
+
+// Guards against connections to servers that take the descriptors of others.
+TEST(backend_links, a_connection_beyond_the_limit_is_not_opened)
+{
+    links->limit_connections(2);
+    start("a");
+    const auto first = accept();
+    start("b");
+    const auto second = accept();
+    start("c");
+    await_end(1);
+    CHECK(handler.faults.front() == exchange_fault::not_connected);
+    first->send(answer("a", ""));
+    await_end(2);
+    CHECK_EQUAL(2U, links->connections());
+}
--- a/src/tests/loop/caller_front_test.cpp
+++ b/src/tests/loop/caller_front_test.cpp
@@ -86,6 +86,32 @@
         const auto error = front->listen({"127.0.0.1", port});
         CHECK_TEXT(!error, error.value_or("").c_str());
     }
+    /** Restarts as a front that sheds, with limits of memory. */
+    void shed(std::size_t soft, std::size_t hard)
+    {
+        front->stop_accepting();
+        front = std::make_unique<caller_front>(
+            *loop, handler,
+            stream_accounts{memory_account::request_reading,
+                            memory_account::caller_answers},
+            true);
+        loop->memory.limit({soft, hard, 0, 0});
+        front_limits limits;
+        limits.message = {500, 100000};
+        front->limit(limits);
+        CHECK(!front->listen({"127.0.0.1", port}));
+    }
+    /** Sends a part of a body and waits until it is counted. */
+    std::unique_ptr<raw_peer> begin_body(std::size_t bytes)
+    {
+        const std::size_t before = loop->memory.sum();
+        auto peer = connect();
+        peer->send("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" +
+                   std::string(bytes, 'x'));
+        CHECK(run_until(io,
+                        [&] { return loop->memory.sum() >= before + bytes; }));
+        return peer;
+    }
     void teardown() override
     {
         front->stop_accepting();
@@ -388,3 +414,125 @@
     front->close_idle();
     await_end(*peer);
 }
+
+// Guards against bytes that stay counted, which would refuse callers for good.
+TEST(caller_front, a_connection_between_requests_holds_nothing)
+{
+    const auto peer = connect();
+    peer->send("POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\n" +
+               std::string(20, 'x'));
+    CHECK(run_until(io, [&] { return loop->memory.sum() >= 20; }));
+    peer->send(std::string(30, 'x'));
+    await_requests(1);
+    CHECK_EQUAL(0U, loop->memory.sum());
+    front->answer(handler.tokens[0], {200, "", std::string(large_body, 'x')});
+    CHECK(loop->memory.sum() > 0);
+    CHECK(run_until(io, [&] { return peer->received().size() > large_body; }));
+    CHECK_EQUAL(0U, loop->memory.sum());
+}
+
+// Guards against a caller that takes a little at a time and so keeps the whole
+// answer in memory.
+TEST(caller_front, memory_is_given_back_while_a_caller_takes_its_answer)
+{
+    const auto peer = connect();
+    answer_unread(*peer, large_body);
+    CHECK(run_until(io, [&] {
+        return peer->received().size() > large_body - 2 * 1024 * 1024 ||
+               loop->memory.sum() < large_body / 3;
+    }));
+    CHECK(loop->memory.sum() < large_body / 3);
+}
+
+TEST(caller_front, a_new_request_is_refused_at_once_when_memory_is_short)
+{
+    shed(1000, 1000000);
+    memory_hold other(loop->memory, memory_account::parts);
+    other.set(2000);
+    const auto whole = connect();
+    whole->send("GET / HTTP/1.1\r\n\r\n");
+    await_text(*whole, "HTTP/1.1 503");
+    const auto head = connect();
+    head->send("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+    await_text(*head, "HTTP/1.1 503");
+    CHECK_EQUAL(0U, handler.requests.size());
+    other.set(0);
+    const auto later = connect();
+    later->send("GET / HTTP/1.1\r\n\r\n");
+    await_requests(1);
+}
+
+// Guards against memory that grows with bodies though it is short already.
+TEST(caller_front, a_body_waits_in_the_kernel_while_memory_is_short)
+{
+    shed(500000, 1000000);
+    const auto peer = begin_body(1000);
+    memory_hold other(loop->memory, memory_account::parts);
+    other.set(600000);
+    peer->send(std::string(40000, 'x'));
+    io.restart();
+    io.run_for(30ms);
+    const std::size_t held = loop->memory.sum();
+    peer->send(std::string(40000, 'x'));
+    io.restart();
+    io.run_for(30ms);
+    CHECK_EQUAL(held, loop->memory.sum());
+    other.set(0);
+    front->pressure_fell();
+    peer->send(std::string(19000, 'x'));
+    await_requests(1);
+    CHECK_EQUAL(100000U, handler.requests[0].body().size());
+}
+
+TEST(caller_front, those_that_stall_are_closed_before_slow_bodies)
+{
+    shed(1UL << 40U, 1UL << 41U);
+    const auto slow = begin_body(1000);
+    time.step(1s);
+    const auto faster = begin_body(50000);
+    const auto first = connect();
+    answer_unread(*first, large_body);
+    time.step(1s);
+    const auto second = connect();
+    answer_unread(*second, large_body);
+    time.step(1s);
+    front->relieve(1, 1s);
+    CHECK(run_until(io, [&] { return first->ended(); }));
+    CHECK_EQUAL(3U, front->connections());
+    CHECK_EQUAL(1U, front->closed().slow_readers);
+    front->relieve(large_body, 1s);
+    CHECK(run_until(io, [&] { return second->ended(); }));
+    front->relieve(1, 1s);
+    CHECK(run_until(io, [&] { return slow->ended(); }));
+    CHECK(!faster->ended());
+    CHECK_EQUAL(1U, front->closed().slow_bodies);
+}
+
+// Guards against idle connections that keep new callers out.
+TEST(caller_front, the_longest_idle_connection_makes_room)
+{
+    front_limits limits;
+    limits.message = {500, 100};
+    limits.max_connections = 3;
+    front->limit(limits);
+    const auto busy = connect();
+    busy->send("GET / HTTP/1.1\r\n\r\n");
+    await_requests(1);
+    const auto idle = connect();
+    CHECK(run_until(io, [&] { return front->connections() == 2; }));
+    const auto later = connect();
+    CHECK(run_until(io, [&] { return front->connections() == 3; }));
+    const auto fresh = connect();
+    CHECK(run_until(io, [&] { return idle->ended(); }));
+    fresh->send("GET / HTTP/1.1\r\n\r\n");
+    await_requests(2);
+    CHECK(!later->ended());
+    CHECK(!busy->ended());
+    CHECK_EQUAL(1U, front->closed().idle);
+    later->send("GET / HTTP/1.1\r\n\r\n");
+    await_requests(3);
+    const auto turned_away = connect();
+    CHECK(run_until(io, [&] { return turned_away->ended(); }));
+    CHECK_EQUAL(1U, front->closed().turned_away);
+    CHECK(front->is_full());
+}
--- a/src/tests/loop/gateway_metrics_test.cpp
+++ b/src/tests/loop/gateway_metrics_test.cpp
@@ -41,6 +41,12 @@
 {
     gateway_metrics metrics;
     gateway_state state;
+    memory_ledger memory;
+
+    void setup() override
+    {
+        state.memory = &memory;
+    }
 };
 
 TEST(gateway_metrics, answers_are_counted_by_outcome_and_reason)
@@ -85,6 +91,24 @@
     }
 }
 
+TEST(gateway_metrics, held_bytes_and_closed_connections_are_told)
+{
+    memory.limit({1000, 2000, 0, 0});
+    memory_hold body(memory, memory_account::request_reading);
+    body.set(70);
+    state.closed.slow_bodies = 4;
+    state.descriptors = 33;
+    const std::string text = metrics.text(state);
+    for (const char* line :
+         {"cranberrywood_held_bytes{account=\"request_reading\"} 70",
+          "cranberrywood_held_bytes_soft_limit 1000\n",
+          "cranberrywood_held_bytes_hard_limit 2000\n",
+          "cranberrywood_connections_closed_total{reason=\"slow_body\"} 4",
+          "cranberrywood_descriptors 33\n"}) {
+        CHECK_TEXT(contains(text, line), line);
+    }
+}
+
 TEST(gateway_metrics, the_operators_page_lists_every_metric)
 {
     std::ifstream file("docs/OPERATING.md");
--- a/src/tests/process/play.hpp
+++ b/src/tests/process/play.hpp
@@ -17,6 +17,8 @@
     std::uint32_t seed = 1;
     unsigned vms = 4;
     std::chrono::seconds length{30};
+    /** Factor of the memory bounds; a sanitizer keeps memory of its own. */
+    unsigned memory_factor = 1;
 };
 
 /** A promise that was broken, with what was seen. */
