--- a/src/loop/backend_connection.hpp
+++ b/src/loop/backend_connection.hpp
@@ -33,10 +33,17 @@
 
     /** Connects and then sends the exchange. */
     void open(carried_exchange exchange);
+    /** Reports the exchange as not connected, later. */
+    void refuse(carried_exchange exchange);
     /** Connects and stays idle; the result is that of a probe. */
     void open_idle();
     /** Sends an exchange on the idle connection. */
     void send(carried_exchange exchange);
+    /** Reads on if the memory pressure allows it again. */
+    void pressure_fell()
+    {
+        m_stream->pressure_fell();
+    }
     /** Closes and reports nothing. */
     void close();
 
@@ -84,6 +91,10 @@
     boost::asio::steady_timer m_connect_timer;
     boost::asio::steady_timer m_keep_timer;
     response_reader m_reader;
+    /** Bytes of the answer so far. */
+    memory_hold m_answer_held;
+    /** Bytes of a request that waits for the connection. */
+    memory_hold m_request_held;
     std::optional<carried_exchange> m_exchange;
     bool m_connected = false;
     /** It is opened for a probe that has not ended. */
--- a/src/loop/backend_links.hpp
+++ b/src/loop/backend_links.hpp
@@ -8,6 +8,7 @@
 #include "loop/loop_context.hpp"
 #include "loop/rest_limits.hpp"
 
+#include <limits>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -52,6 +53,19 @@
     /** Opens a connection and keeps it for the next exchange. */
     void probe(const probe_server& probe);
 
+    /** Sets how many connections may be open or in the making. */
+    void limit_connections(std::size_t most)
+    {
+        m_most = most;
+    }
+    /** Reads on where the memory pressure had stopped it. */
+    void pressure_fell();
+    /** Returns the number of connections that are open or in the making. */
+    std::size_t connections() const
+    {
+        return m_busy.size() + m_probes.size() + idle_connections();
+    }
+
     /** Closes connections that were idle for long. */
     void sweep(time_point now);
 
@@ -77,6 +91,8 @@
 
     pool& pool_of(backend_server_id server, const endpoint& address);
     connection_pointer take_idle(pool& p);
+    /** Closes the longest idle connection if need be; says if one may open. */
+    bool make_room();
     /** Keeps a connection, unless there are `most` idle ones. */
     void became_idle(const connection_pointer& connection, std::uint32_t most);
     /** An idle connection is closed. */
@@ -91,6 +107,7 @@
     std::unordered_map<backend_server_id, connection_pointer> m_probes;
     rest_limits m_rest_limits;
     connection_counts m_counts;
+    std::size_t m_most = std::numeric_limits<std::size_t>::max();
 };
 
 } // namespace cranberrywood
--- a/src/tests/process/play.hpp
+++ b/src/tests/process/play.hpp
@@ -17,6 +17,8 @@
     std::uint32_t seed = 1;
     unsigned vms = 4;
     std::chrono::seconds length{30};
+    /** Factor of the memory bounds; a sanitizer keeps memory of its own. */
+    unsigned memory_factor = 1;
 };
 
 /** A promise that was broken, with what was seen. */
@@ -46,6 +48,8 @@
 play_report play_foreign_entries(const play_plan& plan);
 /** Lets a service answer with heads that are not proper. */
 play_report play_spoiled_heads(const play_plan& plan);
+/** Lets callers hold memory and descriptors of a VM with small limits. */
+play_report play_slow_callers(const play_plan& plan);
 
 } // namespace cranberrywood::tests
 
