Server conditions: a recovery outlives repeated reports of the condition

A recovery only erased the state, so an older report, as a VM that has missed the recovery repeats it in its heartbeats, began the condition again at every VM that took it in. The send time of the answer that showed the recovery is now kept for the evidence life, repeated in heartbeats, and older evidence is ignored. Reports of a latency above a minute are refused as impossible.

server_conditions_test: reports_in_any_order checked one of the two orders only.

--- a/src/systems/servers/server_conditions.cpp
+++ b/src/systems/servers/server_conditions.cpp
@@ -34,6 +34,8 @@
 constexpr double probing_vms = 4.0;
 /** At 20 bytes each, these leave a heartbeat in one packet. */
 constexpr std::size_t reports_per_heartbeat = 8;
+/** No request waits this long; a greater latency in a report is a fault. */
+constexpr duration longest_latency = 60s;
 constexpr duration learnt_log_interval = 1s;
 
 } // namespace
@@ -72,6 +74,9 @@
 void server_conditions::add(const server_observation& seen, time_point now,
                             gateway_commands& out)
 {
+    if (is_settled(seen.server, seen.sent_at)) {
+        return;
+    }
     const auto [found, added] = m_states.try_emplace(seen.server);
     state& s = found->second;
     const bool unrelated = seen.sent_at - s.bad_since > evidence_period;
@@ -134,7 +139,7 @@
     log_change(server, s, now, out);
     m_news.push_back(report_of(server, s, sent_at));
     m_news.back().age = now - sent_at;
-    recover(server);
+    recover(server, sent_at);
 }
 
 void server_conditions::apply_remote(
@@ -144,7 +149,8 @@
         const server_row* row = m_servers.find(report.server);
         const bool usable = row != nullptr && report.age >= duration(0) &&
                             report.age <= evidence_life &&
-                            report.latency >= duration(0);
+                            report.latency >= duration(0) &&
+                            report.latency <= longest_latency;
         if (!usable || sends_often(*row)) {
             ++m_learnt.ignored;
             continue;
@@ -154,6 +160,7 @@
 }
 
 // The later evidence wins, so reports may come in any order and more than once.
+// A recovery is kept: a VM that has missed it repeats the condition.
 void server_conditions::apply_report(const server_condition_report& report,
                                      time_point now)
 {
@@ -161,12 +168,15 @@
     const auto found = m_states.find(report.server);
     const bool known = found != m_states.end() && found->second.impaired;
     if (!report.impaired) {
-        if (known && shown_at > found->second.bad_last) {
-            ++m_learnt.recovered;
-            recover(report.server);
+        if (!known || shown_at > found->second.bad_last) {
+            m_learnt.recovered += known ? 1 : 0;
+            recover(report.server, shown_at);
         }
         return;
     }
+    if (is_settled(report.server, shown_at)) {
+        return;
+    }
     state& s = m_states[report.server];
     if (shown_at > s.bad_last) {
         s.bad_last = shown_at;
@@ -186,10 +196,22 @@
     ++m_impaired;
 }
 
-void server_conditions::recover(backend_server_id server)
+void server_conditions::recover(backend_server_id server, time_point shown_at)
+{
+    const auto found = m_states.find(server);
+    if (found != m_states.end() && shown_at > found->second.bad_last) {
+        m_impaired -= found->second.impaired ? 1 : 0;
+        m_states.erase(found);
+    }
+    time_point& recovered = m_recovered[server];
+    recovered = std::max(recovered, shown_at);
+}
+
+bool server_conditions::is_settled(backend_server_id server,
+                                   time_point shown_at) const
 {
-    m_states.erase(server);
-    --m_impaired;
+    const auto found = m_recovered.find(server);
+    return found != m_recovered.end() && shown_at <= found->second;
 }
 
 bool server_conditions::is_impaired(backend_server_id server,
@@ -271,6 +293,7 @@
         m_impaired -= found->second.impaired ? 1 : 0;
         m_states.erase(found);
     }
+    m_recovered.erase(server);
     m_probers.forget(server);
 }
 
@@ -285,6 +308,11 @@
         }
         it = expired ? m_states.erase(it) : std::next(it);
     }
+    for (auto it = m_recovered.begin(); it != m_recovered.end();) {
+        const bool expired = now - it->second > evidence_life ||
+                             m_servers.find(it->first) == nullptr;
+        it = expired ? m_recovered.erase(it) : std::next(it);
+    }
     log_learnt(now, out);
 }
 
@@ -302,6 +330,12 @@
             reports.push_back(report_of(server, s, now));
         }
     }
+    for (const auto& [server, shown_at] : m_recovered) {
+        if (now - shown_at <= evidence_life && !is_impaired(server, now)) {
+            reports.push_back(
+                {server, false, false, duration(0), now - shown_at});
+        }
+    }
     if (reports.size() > reports_per_heartbeat) {
         const std::size_t first = m_next_repeated % reports.size();
         m_next_repeated += reports_per_heartbeat;
--- a/src/systems/servers/server_conditions.hpp
+++ b/src/systems/servers/server_conditions.hpp
@@ -58,7 +58,7 @@
 
     /** Takes changes that the other VMs have to hear at once. */
     std::vector<server_condition_report> take_reports();
-    /** Returns current conditions to repeat in a heartbeat, in turn. */
+    /** Returns conditions and recoveries to repeat in a heartbeat, in turn. */
     std::vector<server_condition_report> reports_to_repeat(time_point now);
 
     std::size_t impaired_count() const
@@ -96,7 +96,10 @@
     static void count_evidence(state& s, const server_observation& seen);
     void apply_report(const server_condition_report& report, time_point now);
     void impair(state& s);
-    void recover(backend_server_id server);
+    /** Ends a condition; evidence up to the time given is settled by it. */
+    void recover(backend_server_id server, time_point shown_at);
+    /** Returns whether a recovery is known that the evidence precedes. */
+    bool is_settled(backend_server_id server, time_point shown_at) const;
     /** Returns the time between two requests of this VM to a slow server. */
     duration spacing_by_capacity(backend_server_id server, const state& s,
                                  time_point now) const;
@@ -110,6 +113,8 @@
     const member_directory& m_members;
     limit_sharers m_probers;
     std::unordered_map<backend_server_id, state> m_states;
+    /** Send times of the answers that showed recent recoveries. */
+    std::unordered_map<backend_server_id, time_point> m_recovered;
     std::vector<server_condition_report> m_news;
     std::size_t m_impaired = 0;
     std::size_t m_next_repeated = 0;
--- a/src/tests/server_conditions_test.cpp
+++ b/src/tests/server_conditions_test.cpp
@@ -216,6 +216,7 @@
         {known, true, false, 200ms, 4s},
         {known, true, false, 200ms, duration(-1)},
         {known, true, false, duration(-1), 1ms},
+        {known, true, false, duration::max(), 1ms},
         {backend_server_id(99), true, false, 200ms, 1ms},
         {known, false, false, 0ms, 1ms}};
     first.conditions.apply_remote(reports, start);
@@ -230,6 +231,7 @@
     const server_condition_report recovered{server, false, false, 0ms, 500ms};
     first.conditions.apply_remote({impaired, recovered, impaired}, start);
     second.conditions.apply_remote({impaired, impaired, recovered}, start);
+    CHECK(!first.impaired(1, start));
     CHECK(!second.impaired(1, start));
     second.conditions.apply_remote(
         std::vector<server_condition_report>{{server, true, false, 200ms, 0ms}},
@@ -239,6 +241,26 @@
     CHECK(second.impaired(1, start));
 }
 
+// A VM that lost the datagram with the recovery would repeat the condition in
+// its heartbeats, and all others would take it up again.
+TEST(server_conditions, a_repeated_condition_does_not_undo_a_recovery)
+{
+    slow_server(first, 1);
+    first.announce_to(second, start + 500ms);
+    first.answer(1, start + 800ms, usual);
+    first.answer(1, start + 1300ms, usual);
+    first.conditions.take_reports();
+    const time_point now = start + 1400ms;
+    first.conditions.apply_remote(second.conditions.reports_to_repeat(now),
+                                  now);
+    CHECK(!first.impaired(1, now));
+    CHECK(second.impaired(1, now));
+    second.conditions.apply_remote(first.conditions.reports_to_repeat(now),
+                                   now);
+    CHECK(!second.impaired(1, now));
+    CHECK_EQUAL(0, second.conditions.impaired_count());
+}
+
 // Queues would grow behind all servers of the shard until every answer is late.
 TEST(server_conditions, slow_servers_are_used_at_the_rate_of_their_slots)
 {
