Suspicions: a report without a term changes nothing

A term of 0 or below set the end of the server's last suspicion to now, so the next ordinary pause within 500 ms was taken for a repeated one and the server was suspected for 300 ms instead of 150 ms.

--- a/src/systems/servers/server_suspicions.cpp
+++ b/src/systems/servers/server_suspicions.cpp
@@ -91,9 +91,8 @@
 {
     for (const server_suspicion& s : suspicions) {
         server_row* row = m_servers.find(s.server);
-        const duration term = std::clamp(s.term, duration(0), max_term);
-        if (row != nullptr) {
-            extend_suspicion(*row, term, now);
+        if (row != nullptr && s.term > duration(0)) {
+            extend_suspicion(*row, std::min(s.term, max_term), now);
         }
     }
 }
--- a/src/tests/server_suspicions_test.cpp
+++ b/src/tests/server_suspicions_test.cpp
@@ -148,3 +148,16 @@
     now += 10s;
     CHECK(report_late() == 150ms);
 }
+
+// The end of a term of 0 would count as the end of a suspicion, and the next
+// ordinary pause would be taken for a repeated one.
+TEST(server_suspicions, a_report_without_a_term_changes_nothing)
+{
+    suspicions.apply_remote({{first, duration(0), suspicion_cause::late},
+                             {first, -1s, suspicion_cause::late}},
+                            now);
+    const server_row& row = *servers.find(first);
+    CHECK(row.suspected_until == time_point());
+    CHECK_EQUAL(0, row.suspicions_in_row);
+    CHECK(report_late() == 150ms);
+}
