Server conditions: recovery is seen by all probing VMs together

- Probes waited for the pace of a slow server, which opens to each of 86 VMs once in 3.2 s, and not for their own interval of 2 s.
They are now exempt from it.
- A VM ended a condition by two of its own probes.
A usual answer is now told to all (field 6 of server_condition_report), usual answers of all VMs count, and the VM's next request is a probe.
Failing servers need four of one VM as before.

A probe that is late, as no request arrived, no longer delays the next one.

--- a/src/core/gateway_datagram.hpp
+++ b/src/core/gateway_datagram.hpp
@@ -72,6 +72,8 @@
     duration latency{0};
     /** Time since the send that showed it. */
     duration age{0};
+    /** One usual answer of an impaired server; others may have to follow. */
+    bool usual_answer = false;
 };
 
 /** Reports how many requests a second a server takes from all VMs. */
--- a/src/systems/servers/server_choice.cpp
+++ b/src/systems/servers/server_choice.cpp
@@ -72,7 +72,12 @@
             continue;
         }
         const health_class health = health_of(row, now);
-        if (const time_point opens = opening_of(row, health, now);
+        // A slow server of a large fleet opens to each VM so seldom that probes
+        // at this pace would find its recovery seconds late.
+        const bool probe =
+            criteria.may_probe && m_conditions.probe_due(id, now);
+        if (const time_point opens =
+                probe ? opening_of(row, now) : opening_of(row, health, now);
             opens > now) {
             reopens_at = std::min(opens, reopens_at.value_or(opens));
             continue;
@@ -84,7 +89,7 @@
         if (row.in_flight() >= criteria.max_in_flight) {
             continue;
         }
-        if (criteria.may_probe && m_conditions.probe_due(id, now)) {
+        if (probe) {
             return id;
         }
         if (!best.empty() && health > best.front().health) {
--- a/src/systems/servers/server_conditions.cpp
+++ b/src/systems/servers/server_conditions.cpp
@@ -26,6 +26,8 @@
  */
 constexpr std::uint32_t normal_after_slow = 2;
 constexpr std::uint32_t normal_after_failing = 4;
+/** Reports of usual answers closer than this may be copies of one datagram. */
+constexpr duration usual_answer_gap = 30ms;
 /** An impairment without new evidence ends after this time. */
 constexpr duration evidence_life = 3s;
 /** Probes that an impaired server gets from all VMs together. */
@@ -130,9 +132,11 @@
         m_states.erase(found);
         return;
     }
-    const std::uint32_t needed =
-        s.failing ? normal_after_failing : normal_after_slow;
-    if (++s.normal_in_row < needed) {
+    if (!count_usual_answer(s, sent_at, now)) {
+        if (!s.failing) {
+            m_news.push_back(
+                {server, false, false, duration(0), now - sent_at, true});
+        }
         return;
     }
     s.impaired = false;
@@ -142,6 +146,38 @@
     recover(server, sent_at);
 }
 
+// Each probing VM sends a probe in two seconds only. So the usual answers of
+// all count together, and after the first one the next request is a probe.
+bool server_conditions::count_usual_answer(state& s, time_point sent_at,
+                                           time_point now)
+{
+    const std::uint32_t needed =
+        s.failing ? normal_after_failing : normal_after_slow;
+    s.normal_last = std::max(s.normal_last, sent_at);
+    if (!s.failing) {
+        s.next_probe = now;
+    }
+    return ++s.normal_in_row >= needed;
+}
+
+// A server that loses some answers gives many usual ones, which are not passed
+// on: the failures in between may be seen by other VMs.
+void server_conditions::apply_usual_answer(
+    const server_condition_report& report, time_point now)
+{
+    const time_point shown_at = now - report.age;
+    const auto found = m_states.find(report.server);
+    if (found == m_states.end() || !found->second.impaired ||
+        found->second.failing || shown_at <= found->second.bad_last ||
+        shown_at < found->second.normal_last + usual_answer_gap) {
+        return;
+    }
+    if (count_usual_answer(found->second, shown_at, now)) {
+        ++m_learnt.recovered;
+        recover(report.server, shown_at);
+    }
+}
+
 void server_conditions::apply_remote(
     const std::vector<server_condition_report>& reports, time_point now)
 {
@@ -155,7 +191,11 @@
             ++m_learnt.ignored;
             continue;
         }
-        apply_report(report, now);
+        if (report.usual_answer) {
+            apply_usual_answer(report, now);
+        } else {
+            apply_report(report, now);
+        }
     }
 }
 
@@ -265,9 +305,11 @@
     }
     state& s = found->second;
     s.next_use = now + spacing_by_capacity(server, s, now);
+    // A VM that has no request when its probe is due sends the next one
+    // earlier.
     if (const auto spacing =
             m_probers.spacing(server, probes_per_second, probing_vms, now)) {
-        s.next_probe = now + *spacing;
+        s.next_probe = std::max(s.next_probe, now - *spacing) + *spacing;
     }
 }
 
--- a/src/systems/servers/server_conditions.hpp
+++ b/src/systems/servers/server_conditions.hpp
@@ -77,6 +77,7 @@
         std::uint32_t failures = 0;
         /** Sends after the latest evidence that were answered as usual. */
         std::uint32_t normal_in_row = 0;
+        time_point normal_last;
         duration latency{0};
         bool impaired = false;
         bool failing = false;
@@ -95,6 +96,12 @@
              gateway_commands& out);
     static void count_evidence(state& s, const server_observation& seen);
     void apply_report(const server_condition_report& report, time_point now);
+    /** Counts a usual answer that a peer reports. */
+    void apply_usual_answer(const server_condition_report& report,
+                            time_point now);
+    /** Counts a usual answer; returns whether the server has recovered. */
+    static bool count_usual_answer(state& s, time_point sent_at,
+                                   time_point now);
     void impair(state& s);
     /** Ends a condition; evidence up to the time given is settled by it. */
     void recover(backend_server_id server, time_point shown_at);
--- a/src/tests/server_conditions_test.cpp
+++ b/src/tests/server_conditions_test.cpp
@@ -187,6 +187,22 @@
     CHECK(!second.impaired(1, start + 1340ms));
 }
 
+// A probing VM meets the server once in two seconds, too seldom to see a
+// recovery alone within a second.
+TEST(server_conditions, usual_answers_of_two_vms_end_a_condition)
+{
+    slow_server(first, 1);
+    first.announce_to(second, start + 500ms);
+    first.answer(1, start + 800ms, usual);
+    const auto reports = first.conditions.take_reports();
+    for (int copy = 0; copy < 3; ++copy) {
+        second.conditions.apply_remote(reports, start + 831ms + copy * 5ms);
+    }
+    CHECK(second.impaired(1, start + 850ms));
+    second.answer(1, start + 900ms, usual);
+    CHECK(!second.impaired(1, start + 930ms));
+}
+
 // A server that loses 4 of 10 answers gives two usual ones in a row all the
 // time.
 TEST(server_conditions, a_failing_server_needs_four_usual_answers)
@@ -283,6 +299,25 @@
     CHECK(std::get<all_at_capacity>(full).reopens_at == now + spacing);
 }
 
+// In a large fleet a VM's turn at a slow server comes every few seconds.
+TEST(server_conditions, probes_do_not_wait_for_the_pace_of_a_slow_server)
+{
+    const backend_server_id server(1);
+    first.servers.find(server)->entry.slots = 1;
+    slow_server(first, 1);
+    first.answer(1, start + 400ms, 1200ms);
+    choice_criteria criteria;
+    criteria.service = service;
+    criteria.own_data_centre = own_data_centre;
+    criteria.may_probe = true;
+    for (const duration at : {1700ms, 2300ms}) {
+        const auto chosen = first.choice.choose(criteria, start + at);
+        CHECK(std::get<backend_server_id>(chosen) == server);
+        first.conditions.record_sent(server, start + at);
+        CHECK(first.conditions.opens_at(server, start + at) > start + 2300ms);
+    }
+}
+
 TEST(server_conditions, a_vm_that_sends_often_goes_by_its_own_observations)
 {
     first.servers.find(backend_server_id(1))->send_gap = 100ms;
--- a/src/wire/gateway.thrift
+++ b/src/wire/gateway.thrift
@@ -42,6 +42,7 @@
   3: bool failing
   4: i32 latency_ms
   5: i32 age_ms
+  6: bool usual_answer
 }
 
 struct crash_report {
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -23,6 +23,7 @@
 {
     copy.address(c.address, w.address);
     copy.milliseconds(c.age, w.age_ms);
+    copy(c.usual_answer, w.usual_answer);
 }
 
 template <class D>
--- a/src/wire/gen/gateway_types.cpp
+++ b/src/wire/gen/gateway_types.cpp
@@ -697,6 +697,10 @@
 void server_condition_report::__set_age_ms(const int32_t val) {
   this->age_ms = val;
 }
+
+void server_condition_report::__set_usual_answer(const bool val) {
+  this->usual_answer = val;
+}
 std::ostream& operator<<(std::ostream& out, const server_condition_report& obj)
 {
   obj.printTo(out);
@@ -765,6 +769,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->usual_answer);
+          this->__isset.usual_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -802,6 +814,10 @@
   xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("usual_answer", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->usual_answer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -814,6 +830,7 @@
   swap(a.failing, b.failing);
   swap(a.latency_ms, b.latency_ms);
   swap(a.age_ms, b.age_ms);
+  swap(a.usual_answer, b.usual_answer);
   swap(a.__isset, b.__isset);
 }
 
@@ -823,6 +840,7 @@
   failing = other10.failing;
   latency_ms = other10.latency_ms;
   age_ms = other10.age_ms;
+  usual_answer = other10.usual_answer;
   __isset = other10.__isset;
 }
 server_condition_report& server_condition_report::operator=(const server_condition_report& other11) noexcept {
@@ -831,6 +849,7 @@
   failing = other11.failing;
   latency_ms = other11.latency_ms;
   age_ms = other11.age_ms;
+  usual_answer = other11.usual_answer;
   __isset = other11.__isset;
   return *this;
 }
@@ -842,6 +861,7 @@
   out << ", " << "failing=" << to_string(failing);
   out << ", " << "latency_ms=" << to_string(latency_ms);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "usual_answer=" << to_string(usual_answer);
   out << ")";
 }
 
--- a/src/wire/gen/gateway_types.h
+++ b/src/wire/gen/gateway_types.h
@@ -338,12 +338,13 @@
 std::ostream& operator<<(std::ostream& out, const server_suspicion& obj);
 
 typedef struct _server_condition_report__isset {
-  _server_condition_report__isset() : server(false), impaired(false), failing(false), latency_ms(false), age_ms(false) {}
+  _server_condition_report__isset() : server(false), impaired(false), failing(false), latency_ms(false), age_ms(false), usual_answer(false) {}
   bool server :1;
   bool impaired :1;
   bool failing :1;
   bool latency_ms :1;
   bool age_ms :1;
+  bool usual_answer :1;
 } _server_condition_report__isset;
 
 class server_condition_report : public virtual ::apache::thrift::TBase {
@@ -356,7 +357,8 @@
                             impaired(0),
                             failing(0),
                             latency_ms(0),
-                            age_ms(0) {
+                            age_ms(0),
+                            usual_answer(0) {
   }
 
   virtual ~server_condition_report() noexcept;
@@ -365,6 +367,7 @@
   bool failing;
   int32_t latency_ms;
   int32_t age_ms;
+  bool usual_answer;
 
   _server_condition_report__isset __isset;
 
@@ -378,6 +381,8 @@
 
   void __set_age_ms(const int32_t val);
 
+  void __set_usual_answer(const bool val);
+
   bool operator == (const server_condition_report & rhs) const
   {
     if (!(server == rhs.server))
@@ -390,6 +395,8 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (!(usual_answer == rhs.usual_answer))
+      return false;
     return true;
   }
   bool operator != (const server_condition_report &rhs) const {
