--- a/src/systems/servers/server_conditions.hpp
+++ b/src/systems/servers/server_conditions.hpp
@@ -55,7 +55,7 @@
 
     /** Takes changes that the other VMs have to hear at once. */
     std::vector<server_condition_report> take_reports();
-    /** Returns current conditions to repeat in a heartbeat, in turn. */
+    /** Returns conditions and recoveries to repeat in a heartbeat, in turn. */
     std::vector<server_condition_report> reports_to_repeat(time_point now);
 
     std::size_t impaired_count() const
@@ -74,6 +74,7 @@
         std::uint32_t failures = 0;
         /** Sends after the latest evidence that were answered as usual. */
         std::uint32_t normal_in_row = 0;
+        time_point normal_last;
         duration latency{0};
         bool impaired = false;
         bool failing = false;
@@ -91,8 +92,17 @@
              gateway_commands& out);
     static void count_evidence(state& s, const server_observation& seen);
     void apply_report(const server_condition_report& report, time_point now);
+    /** Counts a usual answer that a peer reports. */
+    void apply_usual_answer(const server_condition_report& report,
+                            time_point now);
+    /** Counts a usual answer; returns whether the server has recovered. */
+    static bool count_usual_answer(state& s, time_point sent_at,
+                                   time_point now);
     void impair(state& s);
-    void recover(backend_server_id server);
+    /** Ends a condition; evidence up to the time given is settled by it. */
+    void recover(backend_server_id server, time_point shown_at);
+    /** Returns whether a recovery is known that the evidence precedes. */
+    bool is_settled(backend_server_id server, time_point shown_at) const;
     static server_condition_report report_of(backend_server_id server,
                                              const state& s, time_point now);
     void log_change(backend_server_id server, const state& s, time_point now,
@@ -102,6 +112,8 @@
     const server_table& m_servers;
     limit_sharers m_probers;
     std::unordered_map<backend_server_id, state> m_states;
+    /** Send times of the answers that showed recent recoveries. */
+    std::unordered_map<backend_server_id, time_point> m_recovered;
     std::vector<server_condition_report> m_news;
     std::size_t m_impaired = 0;
     std::size_t m_next_repeated = 0;
--- a/src/tests/server_conditions_test.cpp
+++ b/src/tests/server_conditions_test.cpp
@@ -185,6 +185,24 @@
     first.announce_to(second, start + 1340ms);
     CHECK(!first.impaired(1, start + 1340ms));
     CHECK(!second.impaired(1, start + 1340ms));
+    CHECK_EQUAL(0, first.conditions.impaired_count());
+    CHECK_EQUAL(0, second.conditions.impaired_count());
+}
+
+// A probing VM meets the server once in two seconds, too seldom to see a
+// recovery alone within a second.
+TEST(server_conditions, usual_answers_of_two_vms_end_a_condition)
+{
+    slow_server(first, 1);
+    first.announce_to(second, start + 500ms);
+    first.answer(1, start + 800ms, usual);
+    const auto reports = first.conditions.take_reports();
+    for (int copy = 0; copy < 3; ++copy) {
+        second.conditions.apply_remote(reports, start + 831ms + copy * 5ms);
+    }
+    CHECK(second.impaired(1, start + 850ms));
+    second.answer(1, start + 900ms, usual);
+    CHECK(!second.impaired(1, start + 930ms));
 }
 
 // A server that loses 4 of 10 answers gives two usual ones in a row all the
@@ -216,6 +234,7 @@
         {known, true, false, 200ms, 4s},
         {known, true, false, 200ms, duration(-1)},
         {known, true, false, duration(-1), 1ms},
+        {known, true, false, duration::max(), 1ms},
         {backend_server_id(99), true, false, 200ms, 1ms},
         {known, false, false, 0ms, 1ms}};
     first.conditions.apply_remote(reports, start);
@@ -230,6 +249,7 @@
     const server_condition_report recovered{server, false, false, 0ms, 500ms};
     first.conditions.apply_remote({impaired, recovered, impaired}, start);
     second.conditions.apply_remote({impaired, impaired, recovered}, start);
+    CHECK(!first.impaired(1, start));
     CHECK(!second.impaired(1, start));
     second.conditions.apply_remote(
         std::vector<server_condition_report>{{server, true, false, 200ms, 0ms}},
@@ -239,6 +259,44 @@
     CHECK(second.impaired(1, start));
 }
 
+// A VM that lost the datagram with the recovery would repeat the condition in
+// its heartbeats, and all others would take it up again.
+TEST(server_conditions, a_repeated_condition_does_not_undo_a_recovery)
+{
+    slow_server(first, 1);
+    first.announce_to(second, start + 500ms);
+    first.answer(1, start + 800ms, usual);
+    first.answer(1, start + 1300ms, usual);
+    first.conditions.take_reports();
+    const time_point now = start + 1400ms;
+    first.conditions.apply_remote(second.conditions.reports_to_repeat(now),
+                                  now);
+    CHECK(!first.impaired(1, now));
+    CHECK(second.impaired(1, now));
+    second.conditions.apply_remote(first.conditions.reports_to_repeat(now),
+                                   now);
+    CHECK(!second.impaired(1, now));
+    CHECK_EQUAL(0, second.conditions.impaired_count());
+}
+
+// A VM of a large fleet may have no request when its probe is due.
+TEST(server_conditions, a_vm_that_missed_a_probe_sends_the_next_one_earlier)
+{
+    const backend_server_id server(1);
+    first.servers.find(server)->entry.slots = 1;
+    slow_server(first, 1);
+    first.answer(1, start + 400ms, 1200ms);
+    choice_criteria criteria;
+    criteria.service = service;
+    criteria.own_data_centre = own_data_centre;
+    criteria.may_probe = true;
+    for (const duration at : {1700ms, 2300ms}) {
+        const auto chosen = first.choice.choose(criteria, start + at);
+        CHECK(std::get<backend_server_id>(chosen) == server);
+        first.conditions.record_sent(server, start + at);
+    }
+}
+
 TEST(server_conditions, a_vm_that_sends_often_goes_by_its_own_observations)
 {
     first.servers.find(backend_server_id(1))->send_gap = 100ms;
