Startup: every VM lists the store at once and is ready without the fleet

A VM lists the configuration and the servers directly from the store as it starts: a seed linearizably, any other VM with serializable reads while it follows a seed. Without workspaces it is ready once it has both. Until a linearizable read confirms the state, a route or key that is not found is refused as not ready, with a Retry-After from startup_progress.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -15,6 +15,13 @@
 constexpr duration sweep_interval = 250ms;
 /** Interval at which unanswered asks for tokens are repeated. */
 constexpr duration token_review_interval = 15ms;
+/** Time after which a VM is ready though it has not discovered the fleet. */
+constexpr duration longest_unready = 4s;
+/**
+ * Time without a change after which the fleet size is logged: a VM that starts
+ * learns of the others one by one.
+ */
+constexpr duration fleet_size_steady_time = 250ms;
 /** Retry delay given to a caller whose request got no token. */
 constexpr duration token_retry_after = 100ms;
 
@@ -28,7 +35,8 @@
 
 gateway::gateway(const gateway_settings& settings, random_source& random,
                  time_point now)
-    : m_members(settings.member, random, now), m_rates(m_members),
+    : m_startup(random, now - settings.age),
+      m_members(settings.member, random, now), m_rates(m_members),
       m_directory(m_servers), m_server_limits(m_servers, m_members),
       m_suspicions(m_servers), m_cold_limits(m_servers, m_members),
       m_choice(m_servers, m_server_limits, m_cold_limits, random),
@@ -36,7 +44,8 @@
       m_sender(settings, m_servers, m_choice, m_server_limits, m_cold_limits,
                m_suspicions, m_relay_peers),
       m_crash_watch(m_servers, m_quarantine),
-      m_admission(m_rates, m_waiting, m_quarantine, m_choice, random),
+      m_admission(m_rates, m_waiting, m_quarantine, m_choice, m_startup,
+                  random),
       m_peers(m_members, incarnation(random.next() | 1U), m_rates,
               m_server_limits, m_quarantine, m_relay_peers, now),
       m_relays(m_servers, random, m_sender, m_waiting, m_quarantine, m_peers),
@@ -48,6 +57,7 @@
 {
     gateway_commands out;
     std::visit([&](const auto& e) { on(e, now, out); }, event);
+    review_readiness(now, out);
     broadcast_news(now, out);
     return out;
 }
@@ -67,6 +77,7 @@
         review_token_waiters(now, out);
     }
     update_fleet_size(now, out);
+    review_readiness(now, out);
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
         m_directory.drop_unlisted(now);
@@ -80,6 +91,37 @@
     return out;
 }
 
+bool gateway::is_ready(time_point now) const
+{
+    if (m_settings == nullptr || m_servers.size() == 0 ||
+        !reaches_servers(now)) {
+        return false;
+    }
+    // A VM that does not know the fleet has no tokens for keyed requests.
+    const bool lacks_tokens =
+        m_settings->has_workspaces() && !m_members.settled(now);
+    return m_members.age(now) >= longest_unready ||
+           (!lacks_tokens && !has_older_configuration());
+}
+
+void gateway::record_step(startup_step step, time_point now,
+                          gateway_commands& out)
+{
+    if (m_startup.record(step, now)) {
+        log(log_code::startup_step_reached,
+            std::string("step=") + name_of(step) +
+                " ms=" + milliseconds_text(m_startup.age(now)),
+            out);
+    }
+}
+
+void gateway::review_readiness(time_point now, gateway_commands& out)
+{
+    if (!m_startup.has(startup_step::ready) && is_ready(now)) {
+        record_step(startup_step::ready, now, out);
+    }
+}
+
 std::uint64_t gateway::settings_version() const
 {
     return m_settings == nullptr ? 0 : m_settings->version;
@@ -273,6 +315,7 @@
         return;
     }
     m_settings = read.read;
+    record_step(startup_step::configuration, now, out);
     m_peers.settings_changed(m_settings->version);
     m_admission.catalogue_changed(m_settings);
     m_rates.catalogue_changed(m_settings, now);
@@ -284,6 +327,9 @@
 void gateway::on(const servers_reported& report, time_point now,
                  gateway_commands& out)
 {
+    if (!report.entries.empty()) {
+        record_step(startup_step::servers, now, out);
+    }
     for (const backend_server_id server :
          m_directory.reported(report, now, out)) {
         m_crash_watch.server_started(server, now, out);
@@ -306,9 +352,18 @@
 }
 
 void gateway::on(const store_reachability_changed& contact, time_point now,
-                 gateway_commands& /*out*/)
+                 gateway_commands& out)
 {
     m_directory.contact_changed(contact, now);
+    if (contact.reachable) {
+        record_step(startup_step::confirmed, now, out);
+    }
+}
+
+void gateway::on(const store_state_confirmed& /*confirmed*/, time_point now,
+                 gateway_commands& out)
+{
+    record_step(startup_step::confirmed, now, out);
 }
 
 // What the copy lacks was either removed before or is written again soon.
@@ -345,14 +400,18 @@
 {
     const std::uint32_t size = m_members.fleet_size(now);
     const double share = m_members.usable_share(now);
-    if (size == m_fleet_size && share == m_fleet_share) {
-        return;
-    }
     if (size != m_fleet_size) {
         m_sender.fleet_changed(size);
+        m_fleet_size = size;
+        m_fleet_size_since = now;
+    }
+    const bool new_size = size != m_logged_fleet_size &&
+                          now - m_fleet_size_since >= fleet_size_steady_time;
+    if (!new_size && share == m_logged_fleet_share) {
+        return;
     }
-    m_fleet_size = size;
-    m_fleet_share = share;
+    m_logged_fleet_size = size;
+    m_logged_fleet_share = share;
     log(log_code::fleet_size_changed,
         "vms=" + std::to_string(size) + " share=" + std::to_string(share), out);
 }
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -13,6 +13,7 @@
 #include "systems/rates/token_waiters.hpp"
 #include "systems/servers/server_suspicions.hpp"
 #include "systems/store/peer_configuration.hpp"
+#include "systems/store/startup_progress.hpp"
 
 namespace cranberrywood {
 
@@ -75,6 +76,17 @@
     {
         return m_sender.relayed_count();
     }
+    /**
+     * Returns whether this VM can serve requests: it has a configuration and
+     * servers, knows of no later version and, if the configuration has
+     * workspaces, knows the fleet that divides their rates.
+     */
+    bool is_ready(time_point now) const;
+    /** Returns how far the start of this VM is. */
+    const startup_progress& startup() const
+    {
+        return m_startup;
+    }
     /** Returns whether requests can reach servers, through peers if need be. */
     bool reaches_servers(time_point now) const
     {
@@ -96,6 +108,8 @@
             gateway_commands& out);
     void on(const store_reachability_changed& contact, time_point now,
             gateway_commands& out);
+    void on(const store_state_confirmed& confirmed, time_point now,
+            gateway_commands& out);
     void on(const store_restored& restored, time_point now,
             gateway_commands& out);
     void on(const relay_requested& asked, time_point now,
@@ -106,6 +120,8 @@
     void on(const datagram_received& datagram, time_point now,
             gateway_commands& out);
     void update_fleet_size(time_point now, gateway_commands& out);
+    void record_step(startup_step step, time_point now, gateway_commands& out);
+    void review_readiness(time_point now, gateway_commands& out);
 
     void apply_admission(const request_received& asked,
                          admission_result admitted, time_point now,
@@ -121,6 +137,7 @@
     void review_token_waiters(time_point now, gateway_commands& out);
     void broadcast_news(time_point now, gateway_commands& out);
 
+    startup_progress m_startup;
     member_directory m_members;
     rate_slices m_rates;
     token_waiters m_token_waiters;
@@ -141,8 +158,10 @@
     relay_service m_relays;
     request_runner m_runner;
     std::uint32_t m_fleet_size = 0;
-    /** Share of the limits that the known VMs divide. */
-    double m_fleet_share = 1.0;
+    /** Fleet size, and share of the limits that it divides, logged last. */
+    std::uint32_t m_logged_fleet_size = 0;
+    double m_logged_fleet_share = 1.0;
+    time_point m_fleet_size_since;
     std::shared_ptr<const catalogue> m_settings;
     peer_configuration m_peer_configuration;
     time_point m_next_sweep;
--- a/src/core/gateway_admission.cpp
+++ b/src/core/gateway_admission.cpp
@@ -16,11 +16,6 @@
 constexpr duration min_retry_after = 50ms;
 constexpr duration max_retry_after = 2s;
 
-refused_answer refuse(refusal_reason why)
-{
-    return {why, std::nullopt};
-}
-
 duration clamp_retry_after(duration wait)
 {
     return std::clamp(wait, min_retry_after, max_retry_after);
@@ -39,9 +34,10 @@
 gateway_admission::gateway_admission(rate_slices& rates, waiting_calls& waiting,
                                      const crash_quarantine& quarantine,
                                      const server_choice& choice,
+                                     startup_progress& startup,
                                      random_source& random)
     : m_rates(rates), m_waiting(waiting), m_quarantine(quarantine),
-      m_choice(choice), m_random(random)
+      m_choice(choice), m_startup(startup), m_random(random)
 {
 }
 
@@ -56,6 +52,17 @@
     m_leaving = terms;
 }
 
+refused_answer
+gateway_admission::refuse_unknown(refusal_reason why,
+                                  std::optional<std::uint32_t> priority,
+                                  time_point now) const
+{
+    if (m_startup.has(startup_step::confirmed)) {
+        return {why, std::nullopt};
+    }
+    return {refusal_reason::not_ready, m_startup.retry_after(priority, now)};
+}
+
 // Until the balancer sends its callers elsewhere, requests are served that may
 // take longer than the VM has: most do not.
 bool gateway_admission::outlasts_vm(open_request& request, time_point now) const
@@ -71,11 +78,17 @@
                                           time_point now)
 {
     if (m_settings == nullptr) {
-        return refused_answer{refusal_reason::not_ready, min_retry_after};
+        return refused_answer{refusal_reason::not_ready,
+                              m_startup.retry_after(std::nullopt, now)};
     }
     const auto terms = m_settings->find_route(asked.host, asked.path);
     if (terms == nullptr) {
-        return refuse(refusal_reason::route_unknown);
+        return refuse_unknown(refusal_reason::route_unknown, std::nullopt, now);
+    }
+    if (!m_startup.has(startup_step::servers) &&
+        !m_startup.has(startup_step::confirmed)) {
+        return refused_answer{refusal_reason::not_ready,
+                              m_startup.retry_after(terms->priority, now)};
     }
     auto request = std::make_unique<open_request>();
     request->token = asked.token;
@@ -95,7 +108,8 @@
         const workspace_entry* workspace =
             m_settings->find_workspace(asked.key);
         if (workspace == nullptr) {
-            return refuse(refusal_reason::key_unknown);
+            return refuse_unknown(refusal_reason::key_unknown, terms->priority,
+                                  now);
         }
         request->workspace = workspace->id;
         request->workspace_name = workspace->name;
--- a/src/core/gateway_admission.hpp
+++ b/src/core/gateway_admission.hpp
@@ -6,6 +6,7 @@
 #include "systems/queries/waiting_calls.hpp"
 #include "systems/rates/rate_slices.hpp"
 #include "systems/servers/server_choice.hpp"
+#include "systems/store/startup_progress.hpp"
 
 #include <variant>
 
@@ -34,7 +35,8 @@
 public:
     gateway_admission(rate_slices& rates, waiting_calls& waiting,
                       const crash_quarantine& quarantine,
-                      const server_choice& choice, random_source& random);
+                      const server_choice& choice, startup_progress& startup,
+                      random_source& random);
 
     void catalogue_changed(std::shared_ptr<const catalogue> settings);
 
@@ -45,6 +47,13 @@
     admission_result admit(const request_received& asked, time_point now);
 
 private:
+    /**
+     * Returns the refusal of a request that this VM cannot judge: `why`, or
+     * that the VM is not ready while its state is unconfirmed and may be old.
+     */
+    refused_answer refuse_unknown(refusal_reason why,
+                                  std::optional<std::uint32_t> priority,
+                                  time_point now) const;
     /** Returns whether the request may outlast this VM; limits it if not. */
     bool outlasts_vm(open_request& request, time_point now) const;
     std::optional<duration> excess_wait(const open_request& request,
@@ -58,6 +67,7 @@
     waiting_calls& m_waiting;
     const crash_quarantine& m_quarantine;
     const server_choice& m_choice;
+    startup_progress& m_startup;
     random_source& m_random;
     std::shared_ptr<const catalogue> m_settings;
     vm_leaving m_leaving;
--- a/src/core/gateway_messages.hpp
+++ b/src/core/gateway_messages.hpp
@@ -202,6 +202,14 @@
     bool reachable = false;
 };
 
+/**
+ * A linearizable read of the store, by this VM or by a reader, has confirmed
+ * the state that this VM knows.
+ */
+struct store_state_confirmed
+{
+};
+
 /** The platform's store was restored from an older copy. */
 struct store_restored
 {
@@ -219,8 +227,8 @@
     std::variant<request_received, caller_disconnected, exchange_ended,
                  server_probed, catalogue_read, servers_reported,
                  server_unlisted, evacuations_read, store_reachability_changed,
-                 store_restored, datagram_received, relay_requested,
-                 relay_withdrawn, vm_leaving>;
+                 store_state_confirmed, store_restored, datagram_received,
+                 relay_requested, relay_withdrawn, vm_leaving>;
 
 /** Send a request to a backend server. */
 struct start_exchange
--- a/src/core/gateway_settings.hpp
+++ b/src/core/gateway_settings.hpp
@@ -17,6 +17,8 @@
     /** Fixed allowance of extra sends per service in addition, over all VMs. */
     double extra_send_allowance = 50.0;
     member_identity member;
+    /** Time for which the process has run when the gateway is created. */
+    duration age{0};
 };
 
 } // namespace cranberrywood
--- a/src/core/log_codes.hpp
+++ b/src/core/log_codes.hpp
@@ -16,6 +16,7 @@
     node_leaving = 1002,
     node_left = 1003,
     invariant_broken = 1004,
+    startup_step_reached = 1005,
     revision_accepted = 1101,
     revision_refused = 1102,
     view_unconfirmed = 1103,
--- a/src/loop/boot_clock.hpp
+++ b/src/loop/boot_clock.hpp
@@ -13,6 +13,11 @@
 {
 public:
     time_point now() const override;
+    /**
+     * Returns how long this process has run, to 10 ms; zero if the system does
+     * not tell.
+     */
+    duration process_age() const;
 };
 
 } // namespace cranberrywood
--- a/src/loop/gateway_metrics.cpp
+++ b/src/loop/gateway_metrics.cpp
@@ -125,6 +125,11 @@
     add("caller_connections", "Open connections of callers.",
         state.caller_connections);
     add("ready", "1 if the balancer may send requests.", state.ready);
+    add("ready_seconds",
+        "Seconds from the start of the process until it was first ready; 0: "
+        "not yet.",
+        std::chrono::duration<double>(state.ready_seconds.value_or(duration(0)))
+            .count());
     add("reaches_servers",
         "1 if requests can reach backend servers, through other VMs if need "
         "be.",
--- a/src/loop/gateway_metrics.hpp
+++ b/src/loop/gateway_metrics.hpp
@@ -7,6 +7,7 @@
 #include <prometheus/registry.h>
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace cranberrywood {
@@ -23,6 +24,8 @@
     std::size_t relayed_sends = 0;
     std::size_t caller_connections = 0;
     bool ready = false;
+    /** Time from the start of the process until it was first ready. */
+    std::optional<duration> ready_seconds;
     bool reaches_servers = false;
     std::size_t log_lines_dropped = 0;
     /** Log events written, by number. */
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -18,8 +18,6 @@
 constexpr duration sweep_interval = 500ms;
 /** Interval while the source of the store's news is not chosen. */
 constexpr duration undecided_interval = 50ms;
-/** Time after which a VM is ready though it found no other. */
-constexpr duration longest_unready = 4s;
 constexpr const char* ready_path = "/ready";
 /** Path of the metrics at the control address. */
 constexpr const char* metrics_path = "/metrics";
@@ -32,6 +30,12 @@
     return {};
 }
 
+gateway_settings with_age(gateway_settings settings, duration age)
+{
+    settings.age = age;
+    return settings;
+}
+
 std::uint64_t process_seed()
 {
     std::random_device device;
@@ -44,9 +48,9 @@
                                  const platform_adapter& adapter,
                                  event_log& log)
     : m_file(std::move(file)), m_adapter(adapter), m_log(log),
-      m_io(1), m_loop{m_io, m_clock}, m_started(m_clock.now()),
-      m_random(process_seed()),
-      m_gateway(m_file.decisions, m_random, m_clock.now()),
+      m_io(1), m_loop{m_io, m_clock}, m_random(process_seed()),
+      m_gateway(with_age(m_file.decisions, m_clock.process_age()), m_random,
+                m_clock.now()),
       m_store(
           m_loop, adapter, log, {m_file.store, m_file.control.port}, m_random,
           m_gateway, [this](const gateway_event& event) { handle(event); },
@@ -81,7 +85,10 @@
     m_log.write(log_code::node_started,
                 "data_centre=" + m_file.data_centre +
                     " callers=" + to_string(m_file.callers));
-    m_store.review();
+    m_log.write(log_code::startup_step_reached,
+                "step=listening ms=" +
+                    milliseconds_text(m_gateway.startup().age(m_clock.now())));
+    m_store.start();
     sweep();
     m_io.run();
     return 0;
@@ -407,6 +414,7 @@
     state.relayed_sends = m_gateway.relayed_count();
     state.caller_connections = m_front.connections();
     state.ready = ready();
+    state.ready_seconds = m_gateway.startup().time_to(startup_step::ready);
     state.reaches_servers = m_gateway.reaches_servers(now);
     state.log_lines_dropped = m_log.lines_dropped();
     state.events = m_log.counts();
@@ -415,15 +423,7 @@
 
 bool gateway_process::ready() const
 {
-    // A VM that does not know the fleet has no tokens for keyed requests.
-    const time_point now = m_clock.now();
-    const bool knows_fleet =
-        m_gateway.members().settled(now) || now - m_started >= longest_unready;
-    const bool knows_newest = !m_gateway.has_older_configuration() ||
-                              now - m_started >= longest_unready;
-    return !m_stop && knows_fleet && knows_newest &&
-           m_gateway.reaches_servers(now) && m_gateway.settings() != nullptr &&
-           m_gateway.server_count() > 0;
+    return !m_stop && m_gateway.is_ready(m_clock.now());
 }
 
 } // namespace cranberrywood
--- a/src/loop/gateway_process.hpp
+++ b/src/loop/gateway_process.hpp
@@ -69,7 +69,6 @@
     boost::asio::io_context m_io;
     boot_clock m_clock;
     loop_context m_loop;
-    time_point m_started;
     seeded_random m_random;
     gateway m_gateway;
     store_source m_store;
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -25,10 +25,16 @@
 
 void http_client::get(const std::string& target, duration timeout,
                       done_handler done)
+{
+    get(target, {timeout, timeout}, std::move(done));
+}
+
+void http_client::get(const std::string& target, const call_limits& limits,
+                      done_handler done)
 {
     call("GET " + target + " HTTP/1.1\r\nHost: " + to_string(m_address) +
              "\r\n\r\n",
-         {timeout, timeout}, std::move(done));
+         limits, std::move(done));
 }
 
 void http_client::post(const std::string& target, const std::string& body,
--- a/src/loop/http_client.hpp
+++ b/src/loop/http_client.hpp
@@ -37,6 +37,8 @@
 
     /** Makes a call; the handler is called once, never from within. */
     void get(const std::string& target, duration timeout, done_handler done);
+    void get(const std::string& target, const call_limits& limits,
+             done_handler done);
     /** Makes a call with a body, likewise. */
     void post(const std::string& target, const std::string& body,
               const call_limits& limits, done_handler done);
--- a/src/loop/mirror_reader.cpp
+++ b/src/loop/mirror_reader.cpp
@@ -13,6 +13,11 @@
 
 /** Wait of one call; a reader that went silent shows soon after. */
 constexpr duration follow_wait = 1s;
+/**
+ * Time in which a connection is set up. A VM without power refuses none; the
+ * next reader is asked soon.
+ */
+constexpr duration connect_time = 400ms;
 /** Time beyond the wait in which a reader must answer. */
 constexpr duration answer_time = 900ms;
 
@@ -45,7 +50,7 @@
 void mirror_reader::call()
 {
     m_client->get(follow_target(m_process, m_place, follow_wait),
-                  follow_wait + answer_time,
+                  call_limits{connect_time, follow_wait + answer_time},
                   [this](const http_result& result) { take(result); });
 }
 
--- a/src/loop/platform_adapter.hpp
+++ b/src/loop/platform_adapter.hpp
@@ -40,8 +40,10 @@
                                const std::string& request_id) const = 0;
     virtual backend_answer read_answer(http_response&& response) const = 0;
 
+    /** A serializable list may be answered by any replica of the store. */
     virtual std::string list_target(store_area area,
-                                    const std::string& after_key) const = 0;
+                                    const std::string& after_key,
+                                    bool serializable) const = 0;
     virtual std::string watch_target(store_area area, store_revision after,
                                      duration wait) const = 0;
     virtual std::variant<store_page, store_fault>
--- a/src/loop/store_reader.cpp
+++ b/src/loop/store_reader.cpp
@@ -15,9 +15,11 @@
 
 store_reader::store_reader(loop_context& loop, const platform_adapter& adapter,
                            endpoint store, store_area area, duration pause,
-                           random_source& random, store_listener& listener)
+                           random_source& random, store_listener& listener,
+                           read_extent extent)
     : m_loop(loop), m_adapter(adapter), m_area(area), m_listener(listener),
-      m_follower(pause, random), m_store(std::move(store)), m_timer(loop.io)
+      m_follower(pause, random, extent), m_store(std::move(store)),
+      m_timer(loop.io)
 {
 }
 
@@ -45,9 +47,9 @@
 
         void operator()(const list_items& list) const
         {
-            reader.call(
-                reader.m_adapter.list_target(reader.m_area, list.after_key),
-                answer_time);
+            reader.call(reader.m_adapter.list_target(
+                            reader.m_area, list.after_key, list.serializable),
+                        answer_time);
         }
         void operator()(const watch_items& watch) const
         {
@@ -59,6 +61,10 @@
         {
             reader.wait_until(pause.until);
         }
+        void operator()(const stop_reading& /*stop*/) const
+        {
+            reader.stop();
+        }
     };
     std::visit(visitor{*this}, m_follower.next_call(m_loop.time.now()));
 }
--- a/src/loop/store_reader.hpp
+++ b/src/loop/store_reader.hpp
@@ -25,7 +25,8 @@
 public:
     store_reader(loop_context& loop, const platform_adapter& adapter,
                  endpoint store, store_area area, duration pause,
-                 random_source& random, store_listener& listener);
+                 random_source& random, store_listener& listener,
+                 read_extent extent = read_extent::continuous);
 
     /** Begins to read, from a list on; does nothing when it reads already. */
     void start();
--- a/src/loop/store_source.cpp
+++ b/src/loop/store_source.cpp
@@ -34,6 +34,13 @@
       m_servers_reader(loop, adapter, addresses.store,
                        store_area::backend_servers, servers_pause, random,
                        *this),
+      m_first_list(*this),
+      m_first_settings_reader(loop, adapter, addresses.store,
+                              store_area::operator_settings, settings_pause,
+                              random, m_first_list, read_extent::one_list),
+      m_first_servers_reader(loop, adapter, addresses.store,
+                             store_area::backend_servers, servers_pause, random,
+                             m_first_list, read_extent::one_list),
       m_mirror_reader(
           loop,
           [this](const mirror_update& update) { followed_update(update); },
@@ -43,6 +50,15 @@
 {
 }
 
+void store_source::start()
+{
+    if (m_readers.lists_at_start()) {
+        m_first_settings_reader.start();
+        m_first_servers_reader.start();
+    }
+    review();
+}
+
 void store_source::review()
 {
     choose_store_source();
@@ -55,20 +71,68 @@
         contact_changed(true, "");
     }
     if (page.whole) {
-        m_log.write(log_code::store_listed,
-                    std::string("area=") + name_of(area) +
-                        " position=" + to_string(page.at) +
-                        " items=" + std::to_string(page.changes.size()));
+        log_list(area, page, "");
     }
     apply_page(area, page);
+    if (reads_all()) {
+        confirm();
+    }
     if (m_mirror.apply(area, page)) {
         m_news(m_mirror.place());
     }
 }
 
+void store_source::log_list(store_area area, const followed_page& page,
+                            const char* suffix)
+{
+    m_log.write(log_code::store_listed,
+                std::string("area=") + name_of(area) +
+                    " position=" + to_string(page.at) +
+                    " items=" + std::to_string(page.changes.size()) + suffix);
+}
+
+void store_source::confirm()
+{
+    if (!m_confirmed) {
+        m_confirmed = true;
+        m_handler(store_state_confirmed{});
+    }
+}
+
+void store_source::first_list_listener::store_read(store_area area,
+                                                   const followed_page& page)
+{
+    if (!page.whole) {
+        return;
+    }
+    m_source.log_list(area, page, " serializable=yes");
+    m_source.apply_update(area, page,
+                          m_source.m_view.apply_serializable(area, page));
+}
+
+// The readers tell whether the store can be reached.
+void store_source::first_list_listener::store_failed(store_area area,
+                                                     const std::string& why)
+{
+    m_source.m_log.write(log_code::configuration_unavailable,
+                         std::string("why=\"") + why +
+                             "\" serializable=yes area=" + name_of(area));
+}
+
+void store_source::first_list_listener::page_refused(store_area area,
+                                                     const refused_page& page)
+{
+    store_failed(area, std::string("page refused: ") + name_of(page.why));
+}
+
 void store_source::apply_page(store_area area, const followed_page& page)
 {
-    const view_update update = m_view.apply(area, page);
+    apply_update(area, page, m_view.apply(area, page));
+}
+
+void store_source::apply_update(store_area area, const followed_page& page,
+                                const view_update& update)
+{
     if (update.restored) {
         m_log.write(log_code::store_restored,
                     std::string("area=") + name_of(area) +
@@ -227,6 +291,7 @@
 void store_source::followed_update(const mirror_update& update)
 {
     if (!update.store_reachable) {
+        take_unconfirmed(update);
         reader_failed(reader_fault::store_unreachable,
                       "the reader has lost the store");
         return;
@@ -240,16 +305,39 @@
     contact_changed(update.store_steady, "the reader was out of contact");
     for (const store_area area :
          {store_area::operator_settings, store_area::backend_servers}) {
-        followed_page page;
-        page.whole = update.whole;
-        page.at = update.at;
-        for (const mirrored_item& item : update.items) {
-            if (m_adapter.area_of(item.key) == area) {
-                page.changes.push_back(m_adapter.read_passed_on(
-                    item.key, item.position, item.removed, item.bytes));
-            }
+        apply_page(area, page_of(update, area));
+    }
+    confirm();
+}
+
+followed_page store_source::page_of(const mirror_update& update,
+                                    store_area area) const
+{
+    followed_page page;
+    page.whole = update.whole;
+    page.at = update.at;
+    for (const mirrored_item& item : update.items) {
+        if (m_adapter.area_of(item.key) == area) {
+            page.changes.push_back(m_adapter.read_passed_on(
+                item.key, item.position, item.removed, item.bytes));
         }
-        apply_page(area, page);
+    }
+    return page;
+}
+
+// A VM that knows nothing serves with what a reader last knew. It removes
+// nothing, as such a copy names no position up to which it is complete.
+void store_source::take_unconfirmed(const mirror_update& update)
+{
+    if (!update.whole ||
+        (m_gateway.settings() != nullptr && m_gateway.server_count() > 0)) {
+        return;
+    }
+    for (const store_area area :
+         {store_area::operator_settings, store_area::backend_servers}) {
+        followed_page page = page_of(update, area);
+        page.at = store_position();
+        apply_update(area, page, m_view.apply_serializable(area, page));
     }
 }
 
--- a/src/loop/store_source.hpp
+++ b/src/loop/store_source.hpp
@@ -43,6 +43,8 @@
                  random_source& random, gateway& core, event_handler handler,
                  news_handler news);
 
+    /** Lists the store at once, as the process starts. */
+    void start();
     /** Decides where to read; to be called at regular intervals. */
     void review();
     /** Returns whether no source is chosen yet. */
@@ -61,9 +63,31 @@
     void page_refused(store_area area, const refused_page& page) override;
 
 private:
+    /** Told what the serializable lists at the start bring. */
+    class first_list_listener : public store_listener
+    {
+    public:
+        explicit first_list_listener(store_source& source) : m_source(source) {}
+        void store_read(store_area area, const followed_page& page) override;
+        void store_failed(store_area area, const std::string& why) override;
+        void page_refused(store_area area, const refused_page& page) override;
+
+    private:
+        store_source& m_source;
+    };
+
     void choose_store_source();
     /** Applies changes of the store, from itself or from another VM. */
     void apply_page(store_area area, const followed_page& page);
+    /** Carries out an update of the view that a page led to. */
+    void apply_update(store_area area, const followed_page& page,
+                      const view_update& update);
+    /** Takes the copy of a reader that cannot reach the store. */
+    void take_unconfirmed(const mirror_update& update);
+    followed_page page_of(const mirror_update& update, store_area area) const;
+    void confirm();
+    void log_list(store_area area, const followed_page& page,
+                  const char* suffix);
     /** Keeps the configuration in force as it was read. */
     void keep_configuration(const followed_page& page);
     void ask_peer_for_configuration();
@@ -86,6 +110,9 @@
     store_readers m_readers;
     store_reader m_settings_reader;
     store_reader m_servers_reader;
+    first_list_listener m_first_list;
+    store_reader m_first_settings_reader;
+    store_reader m_first_servers_reader;
     mirror_reader m_mirror_reader;
     std::unique_ptr<http_client> m_configuration_client;
     /** The configuration in force, as it was read. */
@@ -93,6 +120,8 @@
     std::string m_followed;
     bool m_reading_store = false;
     bool m_store_contact = false;
+    /** A linearizable read has confirmed the state. */
+    bool m_confirmed = false;
     /** Contact, or its lack, was logged since the start. */
     bool m_contact_logged = false;
     time_point m_contact_since;
--- a/src/systems/servers/server_directory.cpp
+++ b/src/systems/servers/server_directory.cpp
@@ -3,6 +3,7 @@
 #include "core/log_codes.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -50,12 +51,22 @@
 {
     std::set<backend_server_id> listed;
     std::vector<backend_server_id> started;
+    const bool first = m_servers.size() == 0;
+    gateway_commands lines;
     for (const backend_server_entry& entry : report.entries) {
-        if (put(entry, now, out) == put_result::started) {
+        if (put(entry, now, lines) == put_result::started) {
             started.push_back(entry.id);
         }
         listed.insert(entry.id);
     }
+    // A VM that starts would write a line for each server else.
+    if (first && started.size() > 1) {
+        out.push_back(
+            gateway_log{static_cast<std::uint32_t>(log_code::server_listed),
+                        "servers=" + std::to_string(started.size())});
+    } else {
+        std::move(lines.begin(), lines.end(), std::back_inserter(out));
+    }
     if (!report.whole_list) {
         return started;
     }
--- a/src/systems/store/store_follower.cpp
+++ b/src/systems/store/store_follower.cpp
@@ -14,6 +14,8 @@
 constexpr duration min_retry_pause = 150ms;
 constexpr duration max_retry_pause = 1200ms;
 constexpr std::uint32_t max_doublings = 3;
+/** Attempts of a follower that makes only one list. */
+constexpr std::uint32_t max_list_attempts = 2;
 /** Shortest time between the starts of two watches that return nothing. */
 constexpr duration min_watch_time = 100ms;
 /** Items of one list; the largest deployment has 4,200 backend servers. */
@@ -51,18 +53,29 @@
     return "unknown";
 }
 
-store_follower::store_follower(duration pause, random_source& random)
-    : m_pause(pause), m_random(random)
+store_follower::store_follower(duration pause, random_source& random,
+                               read_extent extent)
+    : m_pause(pause), m_extent(extent), m_random(random)
 {
 }
 
+bool store_follower::is_finished() const
+{
+    return m_extent == read_extent::one_list &&
+           (m_listed || m_failures + m_relists >= max_list_attempts);
+}
+
 store_call store_follower::next_call(time_point now)
 {
+    if (is_finished()) {
+        return stop_reading{};
+    }
     if (now < m_next_call_time) {
         return pause_reading{m_next_call_time};
     }
     if (!m_listed) {
-        return list_items{continuation_after(m_after_key)};
+        return list_items{continuation_after(m_after_key),
+                          m_extent == read_extent::one_list};
     }
     m_watch_began = now;
     return watch_items{m_position.revision, watch_wait};
--- a/src/systems/store/store_follower.hpp
+++ b/src/systems/store/store_follower.hpp
@@ -45,6 +45,15 @@
 
 using page_result = std::variant<followed_page, refused_page>;
 
+/** Which calls a follower makes. */
+enum class read_extent : std::uint8_t
+{
+    /** A linearizable list, then watches. */
+    continuous,
+    /** One list by serializable reads, in at most two attempts. */
+    one_list,
+};
+
 /**
  * Selects the next store call for one area: lists the area once, then watches
  * for changes, and lists again when the store has discarded the revision to
@@ -57,7 +66,8 @@
      * Takes the pause after a watch that returned changes; changes made during
      * the pause arrive in one page.
      */
-    store_follower(duration pause, random_source& random);
+    store_follower(duration pause, random_source& random,
+                   read_extent extent = read_extent::continuous);
 
     /** Returns the call to make now, or the time until which to pause. */
     store_call next_call(time_point now);
@@ -94,7 +104,10 @@
     void list_again(time_point now);
     void pause_after_failure(std::uint32_t failures, time_point now);
 
+    bool is_finished() const;
+
     duration m_pause;
+    read_extent m_extent;
     /** Latest era that a page has named. */
     store_era m_era;
     random_source& m_random;
--- a/src/systems/store/store_messages.hpp
+++ b/src/systems/store/store_messages.hpp
@@ -84,6 +84,8 @@
 struct list_items
 {
     std::string after_key;
+    /** Any replica of the store may answer; the list may be seconds old. */
+    bool serializable = false;
 };
 
 /** Waits for changes after a revision. */
@@ -99,7 +101,13 @@
     time_point until;
 };
 
-using store_call = std::variant<list_items, watch_items, pause_reading>;
+/** Makes no further call. */
+struct stop_reading
+{
+};
+
+using store_call =
+    std::variant<list_items, watch_items, pause_reading, stop_reading>;
 
 } // namespace cranberrywood
 
--- a/src/systems/store/store_readers.cpp
+++ b/src/systems/store/store_readers.cpp
@@ -24,6 +24,9 @@
 /** Bounds of the exponential backoff after which a failed reader is retried. */
 constexpr duration min_backoff = 5s;
 constexpr duration max_backoff = 60s;
+/** Bounds of the backoff of a reader that fails as this VM starts. */
+constexpr duration min_start_backoff = 50ms;
+constexpr duration max_start_backoff = 400ms;
 /** Backoff for a reader that cannot reach the store. */
 constexpr duration store_unreachable_backoff = 1s;
 /** Pause before a retry when neither the readers nor the store answer. */
@@ -42,16 +45,58 @@
 {
 }
 
-// Without this wait, every VM of a large fleet that starts at once would list
-// the whole store.
+bool store_readers::is_seed() const
+{
+    const auto& seeds = m_members.seeds();
+    return std::find(seeds.begin(), seeds.end(), m_members.self()) !=
+           seeds.end();
+}
+
+bool store_readers::is_starting(time_point now) const
+{
+    return !m_members.settled(now) && m_members.age(now) < small_fleet_wait;
+}
+
+bool store_readers::lists_at_start() const
+{
+    return !m_members.seeds().empty() && !is_seed();
+}
+
 bool store_readers::must_wait(time_point now) const
 {
     return now < m_wait_until ||
-           (!m_members.settled(now) && m_members.age(now) < small_fleet_wait);
+           (is_starting(now) && !is_seed() && !m_followed && !choose_seed(now));
+}
+
+// Until a VM knows whether the fleet is large, only the seeds make linearizable
+// calls: every VM of a large fleet that starts at once would make them else.
+std::optional<std::string> store_readers::choose_seed(time_point now) const
+{
+    const auto& seeds = m_members.seeds();
+    if (seeds.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t first =
+        stable_hash(m_members.self(), order_key) % seeds.size();
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+        const std::string& seed = seeds[(first + i) % seeds.size()];
+        if (!in_backoff(seed, now)) {
+            return seed;
+        }
+    }
+    return std::nullopt;
 }
 
 std::optional<std::string> store_readers::source(time_point now)
 {
+    if (is_starting(now)) {
+        if (is_seed()) {
+            m_followed.reset();
+        } else if (!m_followed) {
+            m_followed = choose_seed(now);
+        }
+        return m_followed;
+    }
     const bool large = m_members.known_fleet_size() > max_small_fleet;
     if (!large || now < m_direct_reads_until) {
         m_followed.reset();
@@ -131,6 +176,10 @@
     if (!m_followed) {
         return;
     }
+    if (m_members.age(now) < small_fleet_wait) {
+        failed_at_start(now);
+        return;
+    }
     failure_record& record = m_failures[*m_followed];
     if (why == reader_fault::store_unreachable) {
         record.backoff_until = now + store_unreachable_backoff;
@@ -147,6 +196,19 @@
     m_last_failure = now;
 }
 
+// Readers that start at the same time do not listen yet or have not read the
+// store. The backoff is short, so that they are asked again soon, and the next
+// one is asked at once.
+void store_readers::failed_at_start(time_point now)
+{
+    failure_record& record = m_failures[*m_followed];
+    record.backoff =
+        std::clamp(record.backoff * 2, min_start_backoff, max_start_backoff);
+    record.backoff_until = now + record.backoff;
+    m_followed = is_starting(now) ? choose_seed(now)
+                                  : choose_reader(candidates(now), now);
+}
+
 // A large fleet must not overload a store that is down: each VM starts a direct
 // read at most once per direct_read_time, and otherwise learns from the readers
 // that the store is back.
--- a/src/systems/store/store_readers.hpp
+++ b/src/systems/store/store_readers.hpp
@@ -33,11 +33,18 @@
 
     /**
      * Returns whether the VM must wait before it selects a source: it has just
-     * started and does not know the fleet yet, or neither the readers nor the
-     * store are available.
+     * started and no seed answers, or neither the readers nor the store are
+     * available.
      */
     bool must_wait(time_point now) const;
 
+    /**
+     * Returns whether this VM is to list the store once by serializable reads
+     * at its start. A VM that is one of its own seeds, or has none, reads the
+     * store as a reader does.
+     */
+    bool lists_at_start() const;
+
     /** Returns the address of the reader to follow; none: read the store. */
     std::optional<std::string> source(time_point now);
 
@@ -54,6 +61,12 @@
     };
 
     void start_direct_read(time_point now);
+    bool is_seed() const;
+    /** Returns whether this VM has just started and does not know the fleet. */
+    bool is_starting(time_point now) const;
+    /** Returns the seed to follow during the start, if one may answer. */
+    std::optional<std::string> choose_seed(time_point now) const;
+    void failed_at_start(time_point now);
     /** Returns the VMs that may read, the preferred ones first. */
     std::vector<std::string> candidates(time_point now) const;
     bool in_backoff(const std::string& reader, time_point now) const;
--- a/src/systems/store/store_view.cpp
+++ b/src/systems/store/store_view.cpp
@@ -21,6 +21,20 @@
     return "unknown";
 }
 
+view_update store_view::apply_serializable(store_area area,
+                                           const followed_page& page)
+{
+    const area_items& known =
+        area == store_area::operator_settings ? m_settings : m_servers;
+    if (page.at < known.complete) {
+        view_update update;
+        update.ignored.push_back({name_of(area), ignored_reason::older_revision,
+                                  page.at, known.complete, "whole list"});
+        return update;
+    }
+    return apply(area, page);
+}
+
 view_update store_view::apply(store_area area, const followed_page& page)
 {
     view_update update;
@@ -39,6 +53,9 @@
             applied.push_back(change);
         }
     }
+    if (page.whole) {
+        known.complete = std::max(known.complete, page.at);
+    }
     if (area == store_area::operator_settings) {
         settings_events(applied, update.events);
     } else {
@@ -73,6 +90,15 @@
     return change;
 }
 
+// A reader's copy may be older than a list of this VM. An item that such a copy
+// has and the list lacks was removed in between.
+bool store_view::is_removed_before(const area_items& known,
+                                   const store_change& change)
+{
+    return change.position.era == known.complete.era &&
+           change.position <= known.complete;
+}
+
 bool store_view::apply_change(area_items& known, const store_change& change,
                               std::vector<ignored_change>& ignored)
 {
@@ -91,7 +117,8 @@
     if (change.position.era < known.newest.era) {
         return ignore(ignored_reason::older_era, {});
     }
-    if (is_known && change.position < position) {
+    if ((is_known && change.position < position) ||
+        (!is_known && is_removed_before(known, change))) {
         return ignore(ignored_reason::older_revision, {});
     }
     if (const auto* item = std::get_if<unreadable_item>(&change.value)) {
--- a/src/systems/store/store_view.hpp
+++ b/src/systems/store/store_view.hpp
@@ -67,6 +67,12 @@
 public:
     /** Applies changes; returns the resulting events and what was ignored. */
     view_update apply(store_area area, const followed_page& page);
+    /**
+     * Applies a list that may be seconds old. It is ignored as a whole when the
+     * area is known up to a later position: an item that only this list has was
+     * removed since.
+     */
+    view_update apply_serializable(store_area area, const followed_page& page);
 
     /** Returns the latest era of the store that is known. */
     store_era era() const
@@ -85,10 +91,14 @@
     {
         /** Newest position of a page or an item. */
         store_position newest;
+        /** Position up to which every item of the area is known. */
+        store_position complete;
         std::map<std::string, kept_item> items;
     };
 
     /** Records the page's position; returns the change of era, if any. */
+    static bool is_removed_before(const area_items& known,
+                                  const store_change& change);
     static std::optional<era_change> advance(area_items& known,
                                              const followed_page& page);
     static bool apply_change(area_items& known, const store_change& change,
--- a/src/tests/loop/gateway_metrics_test.cpp
+++ b/src/tests/loop/gateway_metrics_test.cpp
@@ -71,12 +71,14 @@
     state.settings_version = 12;
     state.limits_share = 0.625;
     state.ready = true;
+    state.ready_seconds = std::chrono::milliseconds(275);
     state.log_lines_dropped = 3;
     state.events = {{1601, 40}, {1205, 2}};
     const std::string text = metrics.text(state);
     for (const char* line :
          {"cranberrywood_settings_version 12\n",
           "cranberrywood_limits_share 0.625\n", "cranberrywood_ready 1\n",
+          "cranberrywood_ready_seconds 0.275\n",
           "cranberrywood_reaches_servers 0\n",
           "cranberrywood_log_lines_dropped_total 3\n",
           "cranberrywood_log_events_total{event=\"1601\"} 40",
--- a/src/tests/store_follower_test.cpp
+++ b/src/tests/store_follower_test.cpp
@@ -235,3 +235,35 @@
     now += 100ms;
     CHECK(std::holds_alternative<watch_items>(follower.next_call(now)));
 }
+
+// A list of every VM that starts must not become a watch of every VM.
+TEST(store_follower, a_single_list_is_serializable_and_ends)
+{
+    store_follower once(300ms, random, read_extent::one_list);
+    CHECK(std::get<list_items>(once.next_call(now)).serializable);
+    once.handle_page({{change("a", 1)}, true, at(10)}, now);
+    const auto second = std::get<list_items>(once.next_call(now));
+    CHECK(second.serializable);
+    STRCMP_EQUAL("a", second.after_key.c_str());
+    CHECK(std::get<followed_page>(once.handle_page({{}, false, at(10)}, now))
+              .whole);
+    CHECK(std::holds_alternative<stop_reading>(once.next_call(now)));
+    CHECK_FALSE(std::get<list_items>(follower.next_call(now)).serializable);
+}
+
+// A store that is down gets two calls from a VM that starts, not one each
+// second.
+TEST(store_follower, a_single_list_is_attempted_twice)
+{
+    for (const store_fault fault :
+         {store_fault::unavailable, store_fault::history_lost}) {
+        store_follower once(300ms, random, read_extent::one_list);
+        CHECK(std::holds_alternative<list_items>(once.next_call(now)));
+        once.failed(fault, now);
+        now += 2s;
+        CHECK(std::holds_alternative<list_items>(once.next_call(now)));
+        once.failed(fault, now);
+        now += 2s;
+        CHECK(std::holds_alternative<stop_reading>(once.next_call(now)));
+    }
+}
--- a/src/tests/store_view_test.cpp
+++ b/src/tests/store_view_test.cpp
@@ -171,3 +171,54 @@
     const auto next = operator_settings({settings(12, at(56, 2))});
     CHECK_EQUAL(12U, std::get<catalogue_read>(next[0]).read->version);
 }
+
+// A replica of the store may lag: its list names servers that are gone.
+TEST(store_view, a_serializable_list_that_is_older_never_replaces_a_later_one)
+{
+    servers({entry("a", at(100), 2)}, true, at(110));
+    const auto update = view.apply_serializable(
+        store_area::backend_servers,
+        {{entry("a", at(80)), entry("gone", at(70))}, true, at(90)});
+    CHECK(update.events.empty());
+    CHECK_EQUAL(1, update.ignored.size());
+    const auto same = view.apply_serializable(
+        store_area::backend_servers, {{entry("a", at(100), 2)}, true, at(110)});
+    CHECK(same.events.empty());
+    CHECK(same.ignored.empty());
+}
+
+TEST(store_view, a_serializable_list_of_an_earlier_era_is_ignored)
+{
+    servers({entry("a", at(10, 2))}, true, at(20, 2));
+    const auto update = view.apply_serializable(
+        store_area::backend_servers, {{entry("b", at(70))}, true, at(90)});
+    CHECK(update.events.empty());
+    CHECK_EQUAL(1, update.ignored.size());
+}
+
+TEST(store_view, a_later_list_replaces_a_serializable_one)
+{
+    const auto first = view.apply_serializable(
+        store_area::backend_servers,
+        {{entry("a", at(80)), entry("gone", at(70))}, true, at(90)});
+    CHECK_EQUAL(1, first.events.size());
+    const auto events =
+        servers({entry("a", at(80)), entry("new", at(95))}, true, at(100));
+    CHECK_EQUAL(2, events.size());
+    CHECK(std::get<server_unlisted>(events[0]).server ==
+          id_of<backend_server_id>("gone"));
+    CHECK_EQUAL(1, std::get<servers_reported>(events[1]).entries.size());
+}
+
+// The copy of a reader may be older than the list that this VM made. It must
+// not bring back a server that was removed in between.
+TEST(store_view, an_older_copy_of_a_reader_restores_no_removed_server)
+{
+    view.apply_serializable(store_area::backend_servers,
+                            {{entry("a", at(80))}, true, at(100)});
+    const auto events =
+        servers({entry("a", at(80)), entry("gone", at(70))}, true, at(90));
+    CHECK(events.empty());
+    CHECK_EQUAL(1, ignored.size());
+    CHECK(ignored[0].why == ignored_reason::older_revision);
+}
