--- a/src/loop/gateway_metrics.hpp
+++ b/src/loop/gateway_metrics.hpp
@@ -9,6 +9,7 @@
 #include <prometheus/registry.h>
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace cranberrywood {
@@ -27,6 +28,8 @@
     std::size_t idle_server_connections = 0;
     connection_counts server_connections;
     bool ready = false;
+    /** Time from the start of the process until it was first ready. */
+    std::optional<duration> ready_seconds;
     bool reaches_servers = false;
     /** Bytes held by account; null: not known. */
     const memory_ledger* memory = nullptr;
--- a/src/loop/gateway_process.cpp
+++ b/src/loop/gateway_process.cpp
@@ -21,8 +21,6 @@
 constexpr duration sweep_interval = 500ms;
 /** Interval while the source of the store's news is not chosen. */
 constexpr duration undecided_interval = 50ms;
-/** Time after which a VM is ready though it found no other. */
-constexpr duration longest_unready = 4s;
 constexpr const char* ready_path = "/ready";
 /** Path of the metrics at the control address. */
 constexpr const char* metrics_path = "/metrics";
@@ -78,6 +76,12 @@
                        std::distance(begin(open), end(open)));
 }
 
+gateway_settings with_age(gateway_settings settings, duration age)
+{
+    settings.age = age;
+    return settings;
+}
+
 std::uint64_t process_seed()
 {
     std::random_device device;
@@ -90,9 +94,9 @@
                                  const platform_adapter& adapter,
                                  event_log& log)
     : m_file(std::move(file)), m_adapter(adapter), m_log(log),
-      m_io(1), m_loop{m_io, m_clock}, m_started(m_clock.now()),
-      m_random(process_seed()),
-      m_gateway(m_file.decisions, m_random, m_clock.now()),
+      m_io(1), m_loop{m_io, m_clock}, m_random(process_seed()),
+      m_gateway(with_age(m_file.decisions, m_clock.process_age()), m_random,
+                m_clock.now()),
       m_store(
           m_loop, adapter, log, {m_file.store, m_file.control.port}, m_random,
           m_gateway, [this](const gateway_event& event) { handle(event); },
@@ -155,7 +159,10 @@
     m_log.write(log_code::node_started,
                 "data_centre=" + m_file.data_centre +
                     " callers=" + to_string(m_file.callers));
-    m_store.review();
+    m_log.write(log_code::startup_step_reached,
+                "step=listening ms=" +
+                    milliseconds_text(m_gateway.startup().age(m_clock.now())));
+    m_store.start();
     sweep();
     m_io.run();
     return 0;
@@ -235,7 +242,7 @@
     asked.arrived = now - m_lag.at(now);
     asked.network_time = network_time;
     asked.outbound = counted_request(std::move(asked.outbound),
-                                     memory_account::open_requests);
+                                     memory_account::admitted_requests);
     handle(std::move(asked));
 }
 
@@ -607,6 +614,7 @@
     state.idle_server_connections = m_links.idle_connections();
     state.server_connections = m_links.counts();
     state.ready = ready();
+    state.ready_seconds = m_gateway.startup().time_to(startup_step::ready);
     state.reaches_servers = m_gateway.reaches_servers(now);
     state.log_lines_dropped = m_log.lines_dropped();
     state.events = m_log.counts();
@@ -620,15 +628,7 @@
 
 bool gateway_process::ready() const
 {
-    // A VM that does not know the fleet has no tokens for keyed requests.
-    const time_point now = m_clock.now();
-    const bool knows_fleet =
-        m_gateway.members().settled(now) || now - m_started >= longest_unready;
-    const bool knows_newest = !m_gateway.has_older_configuration() ||
-                              now - m_started >= longest_unready;
-    return !m_stop && knows_fleet && knows_newest &&
-           m_gateway.reaches_servers(now) && m_gateway.settings() != nullptr &&
-           m_gateway.server_count() > 0;
+    return !m_stop && m_gateway.is_ready(m_clock.now());
 }
 
 } // namespace cranberrywood
--- a/src/loop/memory_ledger.cpp
+++ b/src/loop/memory_ledger.cpp
@@ -32,8 +32,8 @@
     switch (account) {
     case memory_account::request_reading:
         return "request_reading";
-    case memory_account::open_requests:
-        return "open_requests";
+    case memory_account::admitted_requests:
+        return "admitted_requests";
     case memory_account::server_requests:
         return "server_requests";
     case memory_account::server_answers:
--- a/src/loop/memory_ledger.hpp
+++ b/src/loop/memory_ledger.hpp
@@ -15,7 +15,7 @@
     /** Heads and bodies that callers send, and bytes pipelined behind them. */
     request_reading,
     /** Requests that are open. */
-    open_requests,
+    admitted_requests,
     /** Requests that servers have not taken yet. */
     server_requests,
     /** Answers that servers are sending. */
--- a/src/wire/gateway_fields.hpp
+++ b/src/wire/gateway_fields.hpp
@@ -23,7 +23,6 @@
 {
     copy.address(c.address, w.address);
     copy.milliseconds(c.age, w.age_ms);
-    copy(c.usual_answer, w.usual_answer);
 }
 
 template <class D>
@@ -64,6 +63,7 @@
     copy(c.failing, w.failing);
     copy.milliseconds(c.latency, w.latency_ms);
     copy.milliseconds(c.age, w.age_ms);
+    copy(c.usual_answer, w.usual_answer);
 }
 
 template <class D>
