--- a/src/tests/gateway_test.cpp
+++ b/src/tests/gateway_test.cpp
@@ -157,7 +157,7 @@
 }
 
 // A VM of 0.12 cores spends tens of milliseconds on the sends of one query;
-// answers that left 4 ms before the target came late to four in five callers.
+// most answers that left 4 ms before the target came late.
 TEST(gateway, a_gather_answers_with_a_missing_part_before_its_target)
 {
     ask("/search/1");
