--- a/review/standins-2/standin.hpp
+++ b/review/standins-2/standin.hpp
@@ -138,8 +138,8 @@
 {
     std::size_t done = 0;
     while (done < bytes.size()) {
-        const ssize_t n = ::send(fd, bytes.data() + done, bytes.size() - done,
-                                 MSG_NOSIGNAL);
+        const ssize_t n =
+            ::send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
         if (n <= 0) {
             return false;
         }
@@ -156,7 +156,13 @@
     ::close(fd);
 }
 
-enum class read_end { bytes, nothing, closed, reset };
+enum class read_end
+{
+    bytes,
+    nothing,
+    closed,
+    reset
+};
 
 inline read_end read_some(int fd, std::string& to, int wait_ms)
 {
@@ -243,8 +249,8 @@
 {
     const auto until = clock_type::now() + milliseconds(wait_ms);
     const auto more = [&]() {
-        const auto left = std::chrono::duration_cast<milliseconds>(
-            until - clock_type::now());
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(until - clock_type::now());
         return read_some(fd, input,
                          static_cast<int>(std::max<long>(0, left.count())));
     };
@@ -334,10 +340,10 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         std::uint32_t three = 0;
         for (std::size_t j = 0; j < 3; ++j) {
-            three = three << 8U |
-                    (i + j < bytes.size()
-                         ? static_cast<unsigned char>(bytes[i + j])
-                         : 0U);
+            three =
+                three << 8U |
+                (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j])
+                                      : 0U);
         }
         for (std::size_t j = 0; j < 4; ++j) {
             text += i + j > bytes.size()
@@ -408,8 +414,8 @@
 
     static std::string json_of(const std::string& key, const item& kept)
     {
-        std::string text = "{\"key\":\"" + key + "\",\"revision\":" +
-                           std::to_string(kept.revision) +
+        std::string text = "{\"key\":\"" + key +
+                           "\",\"revision\":" + std::to_string(kept.revision) +
                            ",\"created\":" + std::to_string(kept.revision) +
                            ",\"lease\":0";
         text += kept.removed ? ",\"tombstone\":true"
@@ -490,15 +496,15 @@
 {
 public:
     /** Serves one request; false closes the connection. */
-    using behaviour = std::function<bool(backend& self, int fd,
-                                         const message& head,
-                                         std::string& input)>;
+    using behaviour = std::function<bool(
+        backend& self, int fd, const message& head, std::string& input)>;
 
     backend(std::string id, std::string service, const std::string& host,
             behaviour react, int receive_buffer = 0)
         : m_id(std::move(id)), m_service(std::move(service)), m_host(host),
           m_react(std::move(react)),
-          m_listener(host, [this](int fd) { serve(fd); }, receive_buffer)
+          m_listener(
+              host, [this](int fd) { serve(fd); }, receive_buffer)
     {
     }
     const std::string& id() const
@@ -526,12 +532,10 @@
     /** Writes a whole success. */
     bool answer(int fd, const message& asked, const std::string& body) const
     {
-        return write_all(fd, "HTTP/1.1 200 OK\r\nRequest-Id: " +
-                                 asked.header("Request-Id") +
-                                 "\r\nResponse-Stamp: " + stamp() +
-                                 "\r\nContent-Length: " +
-                                 std::to_string(body.size()) + "\r\n\r\n" +
-                                 body);
+        return write_all(
+            fd, "HTTP/1.1 200 OK\r\nRequest-Id: " + asked.header("Request-Id") +
+                    "\r\nResponse-Stamp: " + stamp() + "\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
 private:
@@ -618,8 +622,8 @@
                                  const std::vector<tenant>& tenants = {},
                                  std::size_t max_body = 262144)
 {
-    std::string text = "{\"version\":" + std::to_string(version) +
-                       ",\"routes\":[";
+    std::string text =
+        "{\"version\":" + std::to_string(version) + ",\"routes\":[";
     for (const route& r : routes) {
         text += (&r == &routes.front() ? "" : ",");
         text += "{\"name\":\"" + r.name +
@@ -635,10 +639,11 @@
             text += "],\"top_k\":20,\"min_shard_share\":" +
                     std::to_string(r.min_shard_share) + ",";
         }
-        text += "\"max_attempts\":" + std::to_string(r.max_attempts) +
-                ",\"timeout_ms\":" + std::to_string(r.timeout_ms) +
-                ",\"target_latency_ms\":" +
-                std::to_string(r.target_latency_ms) + ",\"priority\":1}";
+        text +=
+            "\"max_attempts\":" + std::to_string(r.max_attempts) +
+            ",\"timeout_ms\":" + std::to_string(r.timeout_ms) +
+            ",\"target_latency_ms\":" + std::to_string(r.target_latency_ms) +
+            ",\"priority\":1}";
     }
     text += "],\"services\":[";
     for (const auto& s : services) {
@@ -660,6 +665,43 @@
     return text + "]}";
 }
 
+/** Ids of the processes that were started; 0 where there is none. */
+inline std::atomic<pid_t> started_processes[64];
+
+inline void note_started(pid_t pid)
+{
+    for (auto& each : started_processes) {
+        pid_t none = 0;
+        if (each.compare_exchange_strong(none, pid)) {
+            return;
+        }
+    }
+}
+
+inline void note_ended(pid_t pid)
+{
+    for (auto& each : started_processes) {
+        pid_t known = pid;
+        each.compare_exchange_strong(known, 0);
+    }
+}
+
+inline void kill_started()
+{
+    for (auto& each : started_processes) {
+        if (each != 0) {
+            ::kill(each, SIGKILL);
+        }
+    }
+}
+
+/** Ends what was started if this process is told to end. */
+inline void end_early(int /*signal*/)
+{
+    kill_started();
+    ::_exit(2);
+}
+
 /** One process of the program under test. */
 class vm
 {
@@ -675,23 +717,25 @@
             seeds += (i == 0 ? "" : ",") + network + "." +
                      std::to_string(i + 1) + ":" + std::to_string(port_base);
         }
-        std::ofstream file(m_folder + "/" + m_name + ".ini");
+        std::ostringstream file;
         file << "[vm]\nname = " << m_name
              << "\ndata_centre = zone-a\nhost = " << m_host
              << "\ndata_centres = zone-a\nfirst_start = true\n[listen]\n"
-             << "callers = " << m_host << ":" << callers() << "\nready = "
-             << m_host << ":" << port_base + 4 << "\ncontrol = " << m_host
-             << ":" << port_base << "\n[peers]\nports = " << port_base + 20
-             << "," << port_base + 35 << "\nseeds = " << seeds
-             << "\n[store]\naddress = " << store
+             << "callers = " << m_host << ":" << callers()
+             << "\nready = " << m_host << ":" << port_base + 4
+             << "\ncontrol = " << m_host << ":" << port_base
+             << "\n[peers]\nports = " << port_base + 20 << "," << port_base + 35
+             << "\nseeds = " << seeds << "\n[store]\naddress = " << store
              << "\n[extra_sends]\nshare = 0.2\nsaved = 54\n[stop]\n"
              << "within_s = 6\n[limits]\nmemory_mb = 260\nopen_files = 4100\n";
+        m_settings = file.str();
     }
     ~vm()
     {
         if (running()) {
             ::kill(m_pid, SIGKILL);
             ::waitpid(m_pid, nullptr, 0);
+            note_ended(m_pid);
         }
     }
     vm(const vm&) = delete;
@@ -701,14 +745,21 @@
     {
         m_status = 0;
         m_ended = false;
+        std::ofstream(m_folder + "/" + m_name + ".ini") << m_settings;
+        // The system starts for the first time only once.
+        const std::string first = "first_start = true\n";
+        const std::size_t at = m_settings.find(first);
+        if (at != std::string::npos) {
+            m_settings.erase(at, first.size());
+        }
         const std::string log = m_folder + "/" + m_name + ".log";
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(&actions, 1, log.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, 1, 2);
-        std::vector<std::string> variables{
-            "CRANBERRYWOOD_CONFIG=" + m_folder + "/" + m_name + ".ini"};
+        std::vector<std::string> variables{"CRANBERRYWOOD_CONFIG=" + m_folder +
+                                           "/" + m_name + ".ini"};
         for (char** each = environ; *each != nullptr; ++each) {
             variables.emplace_back(*each);
         }
@@ -723,6 +774,9 @@
         const int error = ::posix_spawn(&pid, program.c_str(), &actions,
                                         nullptr, arguments, environment.data());
         m_pid = pid;
+        if (error == 0) {
+            note_started(pid);
+        }
         posix_spawn_file_actions_destroy(&actions);
         return error == 0;
     }
@@ -739,6 +793,7 @@
         }
         int status = 0;
         if (::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            note_ended(m_pid);
             m_ended = true;
             m_status = status;
         }
@@ -803,6 +858,7 @@
     std::string m_host;
     int m_port_base;
     std::string m_name;
+    std::string m_settings;
     std::atomic<pid_t> m_pid{-1};
     bool m_ended = false;
     int m_status = 0;
@@ -824,8 +880,8 @@
         for (unsigned i = 0; i < vms && free; ++i) {
             for (const int offset : {0, 3, 4, 20, 21}) {
                 int port = base + offset;
-                const int fd = listen_at(
-                    network + "." + std::to_string(i + 1), port);
+                const int fd =
+                    listen_at(network + "." + std::to_string(i + 1), port);
                 free = free && fd >= 0;
                 if (fd >= 0) {
                     ::close(fd);
@@ -861,17 +917,26 @@
 {
     explicit deployment(unsigned count) : vm_count(count)
     {
+        std::signal(SIGTERM, end_early);
+        std::signal(SIGINT, end_early);
         char name[] = "/tmp/review-XXXXXX";
         folder = ::mkdtemp(name);
         registry = std::make_unique<store>(network + ".251");
     }
-    ~deployment()
+    /**
+     * Ends the VMs and then this process. Threads of stand-ins may still run,
+     * so nothing else is taken apart.
+     */
+    [[noreturn]] void finish(int result)
     {
         vms.clear();
+        kill_started();
         const std::string command = "rm -rf " + folder;
-        if (std::getenv("KEEP") == nullptr && std::system(command.c_str()) != 0) {
+        if (std::getenv("KEEP") == nullptr &&
+            std::system(command.c_str()) != 0) {
             std::perror("rm");
         }
+        ::_exit(result);
     }
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
